--- /dev/null
+++ b/cmd/gypsumtrestle/entry.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"runtime/debug"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/host"
+	"gypsumtrestle.example/gypsumtrestle/internal/oplog"
+	"gypsumtrestle.example/gypsumtrestle/platform"
+)
+
+// memoryShare is the part of the host's memory at which the runtime collects
+// garbage more often.
+const memoryShare = 0.6
+
+type entryCmd struct {
+	Settings string         `help:"Settings file of the platform." env:"GYPSUMTRESTLE_NODE_FILE" required:"" type:"path" placeholder:"FILE"`
+	Metrics  netip.AddrPort `help:"Address that serves metrics." default:"0.0.0.0:9464" placeholder:"IP:PORT"`
+	Check    bool           `help:"Check the settings and exit."`
+}
+
+// Run serves callers on the users' platform until the process is told to stop.
+func (c *entryCmd) Run(ctx context.Context, stdout io.Writer) error {
+	settings, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		_, err := fmt.Fprintln(stdout, "settings are usable:", settings.Name)
+		return errors.Wrap(err, "print")
+	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	w := oplog.NewWriter(os.Stdout)
+	defer w.Close()
+	logger := log.With(log.NewLogfmtLogger(w), "at", log.DefaultTimestampUTC, "host", settings.Name)
+	return host.New(settings, c.Metrics, logger).Run(ctx, c.Settings)
+}
--- a/cmd/gypsumtrestle/main.go
+++ b/cmd/gypsumtrestle/main.go
@@ -27,6 +27,7 @@
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run an entry daemon."`
+	Entry   entryCmd   `cmd:"" help:"Run an entry daemon on the users' platform."`
 	Check   checkCmd   `cmd:"" help:"Check an operators' text."`
 	Apply   applyCmd   `cmd:"" help:"Put an operators' text in force and wait until it is."`
 	Show    showCmd    `cmd:"" help:"Print the operators' text with its version."`
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,207 @@
+// Package host assembles one daemon on an entry host of the users' platform:
+// the callers' interface, the leader, the configuration and the metrics. It
+// owns the order in which they start and stop.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/ask"
+	"gypsumtrestle.example/gypsumtrestle/internal/entry"
+	"gypsumtrestle.example/gypsumtrestle/internal/lead"
+	"gypsumtrestle.example/gypsumtrestle/internal/metric"
+	"gypsumtrestle.example/gypsumtrestle/internal/sched"
+	"gypsumtrestle.example/gypsumtrestle/platform"
+)
+
+const (
+	// rotationTime is how long the load balancer may send new connections after
+	// the daemon has reported that it is not ready: two checks, a second apart.
+	rotationTime = 2200 * time.Millisecond
+	// stopMargin of the platform's grace is left when the daemon closes what
+	// is still open.
+	stopMargin = time.Second
+	// storeAge is how old the store's last answer may be for the daemon to be
+	// ready.
+	storeAge = 2500 * time.Millisecond
+)
+
+// Daemon is the parts of one daemon on the platform.
+type Daemon struct {
+	settings    *platform.Settings
+	logger      log.Logger
+	operators   *entry.Operators
+	intake      *entry.Intake
+	leader      *lead.Leader
+	front       *platform.Front
+	metrics     *metric.Set
+	metricsAt   netip.AddrPort
+	stopping    atomic.Bool
+	incarnation string
+}
+
+// New returns a daemon that is not running yet.
+func New(s *platform.Settings, metricsAt netip.AddrPort, logger log.Logger) *Daemon {
+	d := &Daemon{settings: s, logger: logger, metrics: metric.New(), metricsAt: metricsAt, incarnation: uuid.NewString()}
+	store := platform.NewStore(s.Store)
+	d.operators = &entry.Operators{
+		Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig, Logger: log.With(logger, "part", "config"),
+	}
+	d.intake = entry.NewIntake(store, log.With(logger, "part", "intake"))
+	d.leader = lead.New(lead.Config{
+		Self:      lead.Holder{Name: s.Name, Addr: s.Peer, Incarnation: d.incarnation},
+		Store:     store,
+		Runners:   &platform.Runners{},
+		Servers:   lead.Directory{Prefix: platform.ServersPrefix, Decode: platform.DecodeServer},
+		Operators: d.operators.Config,
+		Limits: sched.Limits{
+			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
+		},
+		Logger: log.With(logger, "part", "lead"),
+	})
+	d.front = &platform.Front{
+		Entry: &entry.Entry{
+			Store: store, Operators: d.operators, Intake: d.intake, Leader: d.leader, Asker: &ask.Asker{},
+			Logger: log.With(logger, "part", "entry"),
+		},
+		Logger: log.With(logger, "part", "front"), Now: time.Now, Stopping: d.stopping.Load, Count: d.metrics.Request,
+	}
+	d.metrics.Gauge("jobs_open", "Jobs that have not ended, at the leader.", func() float64 { return float64(d.leader.Count().Open) })
+	d.metrics.Gauge("runs", "Runs on all runners, at the leader.", func() float64 { return float64(d.leader.Count().Runs) })
+	d.metrics.Gauge("runners_reached", "Runners that answer, at the leader.", func() float64 { return float64(d.leader.Count().Reached) })
+	return d
+}
+
+// ready tells the load balancer whether to send new connections here.
+func (d *Daemon) ready() bool {
+	return !d.stopping.Load() && d.operators.Config() != nil && d.operators.Heard(time.Now().Add(-storeAge))
+}
+
+// Run starts all parts and stops them in order: the leadership at once, the
+// callers after the load balancer has noticed.
+func (d *Daemon) Run(ctx context.Context, settingsPath string) error {
+	d.logger.Log("msg", "daemon starts", "zone", d.settings.Zone, "front", d.settings.Front, "store", d.settings.Store, "incarnation", d.incarnation)
+	var g run.Group
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	add := func(f func(context.Context) error) {
+		c, cancel := context.WithCancel(serving)
+		g.Add(func() error { return f(c) }, func(error) { cancel() })
+	}
+	add(d.operators.Run)
+	add(d.intake.Run)
+	leading, resign := context.WithCancel(serving)
+	g.Add(func() error {
+		err := d.leader.Run(leading)
+		if d.stopping.Load() {
+			<-serving.Done()
+		}
+		return err
+	}, func(error) { resign(); stop() })
+	front := &http.Server{Handler: d.front.Handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	if err := d.serve(&g, "front", d.settings.Front, front); err != nil {
+		return err
+	}
+	if err := d.serve(&g, "ready", d.settings.Ready, &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTime}); err != nil {
+		return err
+	}
+	peers := http.NewServeMux()
+	peers.Handle(ask.Path, ask.Handler(d.leader))
+	if err := d.serve(&g, "peer", d.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTime}); err != nil {
+		return err
+	}
+	if err := d.serve(&g, "metrics", d.metricsAt, &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: headerTime}); err != nil {
+		return err
+	}
+	add(func(c context.Context) error { return d.reload(c, settingsPath) })
+	add(func(c context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-c.Done():
+			return nil
+		}
+		d.drain(front, resign)
+		return nil
+	})
+	err := g.Run()
+	d.logger.Log("msg", "daemon stops", "err", err)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+const (
+	// headerTime bounds how long a client may take to send its header.
+	headerTime = 3 * time.Second
+	// idleTime closes a caller's connection without requests.
+	idleTime = 15 * time.Second
+)
+
+// serve adds an HTTP server to the group.
+func (d *Daemon) serve(g *run.Group, part string, at netip.AddrPort, s *http.Server) error {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", part)
+	}
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve %s", part)
+		}
+		return nil
+	}, func(error) {
+		if err := s.Close(); err != nil {
+			d.logger.Log("msg", "server is not closed", "server", part, "err", err)
+		}
+	})
+	return nil
+}
+
+// drain ends the daemon's work without cutting a request off.
+func (d *Daemon) drain(front *http.Server, resign func()) {
+	d.stopping.Store(true)
+	deadline := time.Now().Add(d.settings.Bounds.Grace - stopMargin)
+	d.logger.Log("msg", "daemon is told to stop", "leading", d.leader.Leading(), "until", deadline)
+	resign()
+	<-d.leader.Done()
+	time.Sleep(min(rotationTime, time.Until(deadline)))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		d.logger.Log("msg", "requests are cut off", "err", err)
+	}
+}
+
+// reload checks the settings when the process is told that they have changed.
+// All that can change while a process runs is read by those who start it.
+func (d *Daemon) reload(ctx context.Context, path string) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+		}
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			d.logger.Log("msg", "settings cannot be reloaded; the old ones stay", "err", err)
+			continue
+		}
+		d.logger.Log("msg", "settings are reloaded", "same", *s == *d.settings)
+	}
+}
--- /dev/null
+++ b/internal/job/config.go
@@ -0,0 +1,92 @@
+package job
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// Advice says how the policy service of a queue answers.
+type Advice struct {
+	Decide time.Duration // base time of an answer
+	Each   time.Duration // added for each runner asked for
+	Valid  time.Duration // how long a permit holds
+}
+
+// Queue is where callers submit jobs of one kind.
+type Queue struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Service  string // pool of runners that runs its jobs
+	Priority int    // 0 goes first
+	Attempts int    // failed runs of a task after which its job has failed
+	Stretch  float64
+	Target   time.Duration
+	Timeout  time.Duration
+	Advice   *Advice
+}
+
+// Objective is by when a job should be complete, given the run time of its
+// longest chain of tasks.
+func (q *Queue) Objective(chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + q.Target
+}
+
+// Service is a pool of runners.
+type Service struct {
+	Name    string
+	Guards  bool // its runners reject what does not fit
+	Standby bool // its hosts are off
+	Health  string
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Config is one version of the operators' configuration. It is immutable.
+type Config struct {
+	Version  int64
+	Queues   map[string]*Queue
+	Services map[string]*Service
+	Limits   Limits
+	byHost   map[string][]*Queue
+}
+
+// NewConfig indexes the queues by host.
+func NewConfig(version int64, queues []*Queue, services []*Service, l Limits) *Config {
+	c := &Config{
+		Version: version, Limits: l,
+		Queues:   make(map[string]*Queue, len(queues)),
+		Services: make(map[string]*Service, len(services)),
+		byHost:   make(map[string][]*Queue),
+	}
+	for _, q := range queues {
+		c.Queues[q.Name] = q
+		h := strings.ToLower(q.Host)
+		c.byHost[h] = append(c.byHost[h], q)
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	return c
+}
+
+// Find returns the queue with the longest prefix of path on host, or nil.
+func (c *Config) Find(host, path string) *Queue {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	var best *Queue
+	for _, q := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,169 @@
+// Package job holds what callers submit: jobs of steps of tasks, the queues
+// that they are submitted to, and how far each job has come.
+package job
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ID names a job. Callers choose it; it has 16 hexadecimal digits.
+type ID string
+
+// Valid tells whether the id has the form that callers must use.
+func (id ID) Valid() bool {
+	if len(id) != 16 {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Room is an amount of a host's resources.
+type Room struct {
+	CPU int `cbor:"1,keyasint,omitempty"` // thousandths of a core
+	Mem int `cbor:"2,keyasint,omitempty"` // megabytes
+	GPU int `cbor:"3,keyasint,omitempty"`
+}
+
+// Fits tells whether r fits into free.
+func (r Room) Fits(free Room) bool {
+	return r.CPU <= free.CPU && r.Mem <= free.Mem && r.GPU <= free.GPU
+}
+
+// Add returns the sum.
+func (r Room) Add(o Room) Room { return Room{r.CPU + o.CPU, r.Mem + o.Mem, r.GPU + o.GPU} }
+
+// Sub returns the difference.
+func (r Room) Sub(o Room) Room { return Room{r.CPU - o.CPU, r.Mem - o.Mem, r.GPU - o.GPU} }
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count       int           `cbor:"1,keyasint"`
+	Room        Room          `cbor:"2,keyasint"`
+	Estimate    time.Duration `cbor:"3,keyasint,omitempty"`  // the caller's guess of a task's run time
+	After       []int         `cbor:"4,keyasint,omitempty"`  // earlier steps that must be done first
+	Saves       bool          `cbor:"5,keyasint,omitempty"`  // tasks write checkpoints
+	Gang        bool          `cbor:"6,keyasint,omitempty"`  // tasks work only when all are present
+	SameRack    bool          `cbor:"7,keyasint,omitempty"`  // tasks are slow across racks
+	Label       string        `cbor:"8,keyasint,omitempty"`  // label that the runner must have
+	Rack        string        `cbor:"9,keyasint,omitempty"`  // rack of the data; other racks are slow
+	PerRunner   int           `cbor:"10,keyasint,omitempty"` // most tasks of one occurrence on a runner; 0: no limit
+	Speculative bool          `cbor:"11,keyasint,omitempty"` // copies may run in parallel
+	Lasting     bool          `cbor:"12,keyasint,omitempty"` // tasks run until the job is cancelled
+	Image       string        `cbor:"13,keyasint,omitempty"` // what the tasks run; equal images behave alike
+	Target      time.Duration `cbor:"14,keyasint,omitempty"` // limit for the tail latency of a lasting task
+	Fills       bool          `cbor:"15,keyasint,omitempty"` // tasks use the processor that others leave
+	MayMiss     int           `cbor:"16,keyasint,omitempty"` // tasks that planned work may keep from running at once
+}
+
+// Demand is the room that a task takes of its runner's capacity. A filler
+// takes no processor.
+func (s *Step) Demand() Room {
+	r := s.Room
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Job is what a caller submitted. It never changes.
+type Job struct {
+	ID       ID            `cbor:"1,keyasint"`
+	Queue    string        `cbor:"2,keyasint"`
+	Service  string        `cbor:"3,keyasint"` // service of the queue when the job was accepted
+	Spec     string        `cbor:"4,keyasint"`
+	Steps    []Step        `cbor:"5,keyasint"`
+	First    time.Time     `cbor:"6,keyasint,omitempty"` // due time of occurrence 0
+	Period   time.Duration `cbor:"7,keyasint,omitempty"`
+	Repeats  int           `cbor:"8,keyasint,omitempty"` // 0: a job without occurrences
+	Accepted time.Time     `cbor:"9,keyasint"`
+}
+
+// Check reports what makes the job unusable.
+func (j *Job) Check() error {
+	if !j.ID.Valid() {
+		return errors.Errorf("job id %q, expected 16 hexadecimal digits", j.ID)
+	}
+	if len(j.Steps) == 0 {
+		return errors.Errorf("job %s: no steps", j.ID)
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Count <= 0 {
+			return errors.Errorf("job %s: step %d: count %d", j.ID, i, s.Count)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return errors.Errorf("job %s: step %d: after %d, expected an earlier step", j.ID, i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Occurrences is how many times the steps run.
+func (j *Job) Occurrences() int { return max(j.Repeats, 1) }
+
+// Due is when occurrence k may start; the zero time means at once.
+func (j *Job) Due(k int) time.Time {
+	if j.Repeats == 0 {
+		return time.Time{}
+	}
+	return j.First.Add(time.Duration(k) * j.Period)
+}
+
+// Lasting tells whether the job runs until it is cancelled.
+func (j *Job) Lasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Task names one task of a job.
+type Task struct {
+	Job   ID
+	Occ   int
+	Step  int
+	Index int
+}
+
+// String returns the name that runners know the task by.
+func (t Task) String() string {
+	b := make([]byte, 0, 32)
+	b = append(b, t.Job...)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.Occ), 10)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.Step), 10)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.Index), 10)
+	return string(b)
+}
+
+// ParseTask reads a name written by String.
+func ParseTask(s string) (Task, error) {
+	f := strings.Split(s, ".")
+	if len(f) != 4 {
+		return Task{}, errors.Errorf("task name %q", s)
+	}
+	t := Task{Job: ID(f[0])}
+	for i, p := range []*int{&t.Occ, &t.Step, &t.Index} {
+		n, err := strconv.Atoi(f[i+1])
+		if err != nil || n < 0 {
+			return Task{}, errors.Errorf("task name %q", s)
+		}
+		*p = n
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/job/progress.go
@@ -0,0 +1,81 @@
+package job
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Outcome is how a job has ended; zero means that it has not.
+type Outcome int
+
+const (
+	Open Outcome = iota
+	Completed
+	Failed
+	Cancelled
+)
+
+func (o Outcome) String() string {
+	return [...]string{"open", "completed", "failed", "cancelled"}[o]
+}
+
+// TaskProgress is what must survive of one task's runs.
+type TaskProgress struct {
+	Occ    int   `cbor:"1,keyasint,omitempty"`
+	Step   int   `cbor:"2,keyasint,omitempty"`
+	Index  int   `cbor:"3,keyasint,omitempty"`
+	Done   bool  `cbor:"4,keyasint,omitempty"`
+	Failed []int `cbor:"5,keyasint,omitempty"` // attempts that ended as failed
+	// Attempt is the highest attempt known to have been ordered.
+	Attempt int    `cbor:"6,keyasint,omitempty"`
+	Saved   string `cbor:"7,keyasint,omitempty"` // newest checkpoint
+}
+
+// Progress is the durable record of how far a job has come. The leader writes
+// it; tasks without a row have not been ordered as far as the record knows.
+type Progress struct {
+	Outcome Outcome        `cbor:"1,keyasint,omitempty"`
+	Begun   bool           `cbor:"2,keyasint,omitempty"` // some task has been started
+	Tasks   []TaskProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// HasFailed tells whether the failure of an attempt is counted already.
+func (p *TaskProgress) HasFailed(attempt int) bool { return slices.Contains(p.Failed, attempt) }
+
+// EncodeJob returns the stored form of a job.
+func EncodeJob(j *Job) ([]byte, error) {
+	b, err := cbor.Marshal(j)
+	return b, errors.Wrapf(err, "encode job %s", j.ID)
+}
+
+// DecodeJob reads the stored form of a job.
+func DecodeJob(b []byte) (*Job, error) {
+	var j Job
+	if err := cbor.Unmarshal(b, &j); err != nil {
+		return nil, errors.Wrap(err, "decode job")
+	}
+	if err := j.Check(); err != nil {
+		return nil, errors.Wrap(err, "decode job")
+	}
+	return &j, nil
+}
+
+// EncodeProgress returns the stored form of a job's progress.
+func EncodeProgress(p *Progress) ([]byte, error) {
+	b, err := cbor.Marshal(p)
+	return b, errors.Wrap(err, "encode progress")
+}
+
+// DecodeProgress reads the stored form of a job's progress.
+func DecodeProgress(b []byte) (*Progress, error) {
+	var p Progress
+	if err := cbor.Unmarshal(b, &p); err != nil {
+		return nil, errors.Wrap(err, "decode progress")
+	}
+	if p.Outcome < Open || p.Outcome > Cancelled {
+		return nil, errors.Errorf("decode progress: outcome %d", p.Outcome)
+	}
+	return &p, nil
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,51 @@
+// Package metric keeps the counters and latency histograms of a daemon and
+// serves them as text.
+package metric
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Set is the metrics of one daemon.
+type Set struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// New returns an empty set.
+func New() *Set {
+	s := &Set{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumtrestle_requests_total", Help: "Answered requests by kind and status.",
+		}, []string{"kind", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gypsumtrestle_request_seconds", Help: "Time to answer a request by kind.",
+			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+		}, []string{"kind"}),
+	}
+	s.registry.MustRegister(s.requests, s.latency)
+	return s
+}
+
+// Request counts one answered request.
+func (s *Set) Request(kind string, status int, took time.Duration) {
+	s.requests.WithLabelValues(kind, strconv.Itoa(status)).Inc()
+	s.latency.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// Gauge adds a figure that is read when the metrics are fetched.
+func (s *Set) Gauge(name, help string, value func() float64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gypsumtrestle_" + name, Help: help}, value))
+}
+
+// Handler serves the metrics.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
--- /dev/null
+++ b/internal/oplog/oplog.go
@@ -0,0 +1,113 @@
+// Package oplog writes log lines without ever blocking the caller. Lines go
+// through a bounded queue to one writer; lines that find it full are counted
+// and reported with the next line that gets through.
+package oplog
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueLines bounds the lines that wait to be written.
+	queueLines = 4096
+	// flushPeriod is how long lines are collected for one write.
+	flushPeriod = 100 * time.Millisecond
+	// flushBytes ends the collection earlier.
+	flushBytes = 32 << 10
+)
+
+// Writer queues each Write as one line.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// NewWriter starts a writer to w. Close ends it.
+func NewWriter(w io.Writer) *Writer {
+	l := &Writer{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
+	go l.run(w)
+	return l
+}
+
+// Write queues a copy of the line, or drops it.
+func (l *Writer) Write(p []byte) (int, error) {
+	select {
+	case l.lines <- bytes.Clone(p):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped is how many lines have been dropped since the last report.
+func (l *Writer) Dropped() int64 { return l.dropped.Load() }
+
+// Close writes what is queued and ends the writer.
+func (l *Writer) Close() {
+	close(l.stop)
+	<-l.done
+}
+
+func (l *Writer) run(w io.Writer) {
+	defer close(l.done)
+	var buf []byte
+	for {
+		select {
+		case line := <-l.lines:
+			buf = append(buf, line...)
+			buf = l.collect(buf)
+			buf = l.flush(w, buf)
+		case <-l.stop:
+			buf = l.drain(buf)
+			l.flush(w, buf)
+			return
+		}
+	}
+}
+
+// collect adds lines for a while, so that one system call writes many.
+func (l *Writer) collect(buf []byte) []byte {
+	t := time.NewTimer(flushPeriod)
+	defer t.Stop()
+	for len(buf) < flushBytes {
+		select {
+		case line := <-l.lines:
+			buf = append(buf, line...)
+		case <-t.C:
+			return buf
+		case <-l.stop:
+			return buf
+		}
+	}
+	return buf
+}
+
+func (l *Writer) drain(buf []byte) []byte {
+	for {
+		select {
+		case line := <-l.lines:
+			buf = append(buf, line...)
+		default:
+			return buf
+		}
+	}
+}
+
+func (l *Writer) flush(w io.Writer, buf []byte) []byte {
+	if n := l.dropped.Swap(0); n > 0 {
+		buf = append(buf, "part=log msg=\"lines were dropped\" lines="...)
+		buf = strconv.AppendInt(buf, n, 10)
+		buf = append(buf, '\n')
+	}
+	if _, err := w.Write(buf); err != nil {
+		// Nothing can be logged when the log cannot be written.
+		l.dropped.Add(1)
+	}
+	return buf[:0]
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,162 @@
+// Package runner is what the product needs of the backend servers that run
+// tasks: what they say of themselves, the orders that they take and the
+// reports that they give.
+//
+// A runner runs tasks under a lease that each order or look may extend, on its
+// own clock. It refuses orders with a term lower than the highest it has seen.
+// An order without an answer may be carried out seconds later.
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+// ID names one incarnation of a runner. A runner that starts again under the
+// same id has another Life.
+type ID string
+
+// Life is the Unix millisecond at which a runner started.
+type Life int64
+
+// Term is the fence of the orders: the store revision at which the orderer
+// became leader.
+type Term int64
+
+// Info is what a runner says of itself in the store.
+type Info struct {
+	ID       ID
+	Life     Life
+	Machine  string
+	Service  string
+	Addr     netip.AddrPort
+	Zone     string
+	Rack     string
+	Labels   []string
+	Room     job.Room
+	Draining bool
+	Leaves   time.Duration // while draining: the least time left
+	Cold     time.Duration // how much longer it is slow after its start
+}
+
+// Has tells whether the runner carries a label; every runner has the empty one.
+func (i *Info) Has(label string) bool {
+	return label == "" || slices.Contains(i.Labels, label)
+}
+
+// ErrNoAnswer means that an order may have been carried out, or may be later.
+var ErrNoAnswer = errors.New("runner gave no answer")
+
+// ErrNotSent means that the runner could not be reached at all.
+var ErrNotSent = errors.New("runner not reached")
+
+// Verdict is a runner's answer to an order.
+type Verdict int
+
+const (
+	Accepted   Verdict = iota // also if it had been carried out before
+	Fenced                    // a higher term has been seen
+	Superseded                // a run of this task with this number or a higher one has ended or was stopped
+	Expired                   // the lease that came with the order has ended
+	NoRoom                    // the task does not fit
+	NoPermit                  // the policy service's permit is missing or too old
+	Unhealthy                 // nothing was done
+	OtherLife                 // another incarnation answers at this address
+	Invalid                   // the order is malformed
+)
+
+func (v Verdict) String() string {
+	return [...]string{
+		"accepted", "fenced", "superseded", "expired", "no-room", "no-permit", "unhealthy", "other-life", "invalid",
+	}[v]
+}
+
+// Reply is the answer to an order.
+type Reply struct {
+	Verdict Verdict
+	Clock   clock.Runner // zero if the answer did not say
+}
+
+// Start orders a run of a task.
+type Start struct {
+	Task    job.Task
+	Attempt int
+	Spec    string
+	Until   clock.Runner // lease of everything on the runner
+	Saved   string       // checkpoint to resume from
+	Permit  string       // of the policy service
+}
+
+// Look asks for the runs of a runner and extends its lease.
+type Look struct {
+	Until clock.Runner  // zero: the lease is not extended
+	Seen  int           // ends up to this number are forgotten
+	Wait  time.Duration // the answer waits so long for an end
+}
+
+// Run is one row of what a runner runs.
+type Run struct {
+	Task    job.Task
+	Attempt int
+	Saved   string // newest checkpoint
+	Percent int    // pace; 100 is full
+	// Load is, for a lasting task with a target, the tail latency in
+	// milliseconds, and for any other task the processor in use in thousandths
+	// of a core.
+	Load int
+}
+
+// Cause is how a run has ended.
+type Cause int
+
+const (
+	Done Cause = iota
+	Failed
+	Stopped
+	Lapsed // the lease ended
+	Broken // another member of its gang ended
+	Alone  // the other members of its gang did not come
+)
+
+func (c Cause) String() string {
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[c]
+}
+
+// End is one row of the runs that have ended. Numbers start at 1 in each life.
+type End struct {
+	N       int
+	Task    job.Task
+	Attempt int
+	Cause   Cause
+	Saved   string
+}
+
+// Report is the answer to a Look. More ends may follow if Ends is full.
+type Report struct {
+	Life    Life
+	Clock   clock.Runner
+	Running []Run
+	Ends    []End
+}
+
+// Target is whom an order is meant for.
+type Target struct {
+	ID   ID
+	Addr netip.AddrPort
+}
+
+// Client gives orders. Each takes the term of the orderer.
+type Client interface {
+	Start(ctx context.Context, to Target, t Term, s Start) (Reply, error)
+	Stop(ctx context.Context, to Target, t Term, task job.Task, attempt int) (Reply, error)
+	// Look returns a nil report when the verdict is not Accepted.
+	Look(ctx context.Context, to Target, t Term, l Look) (*Report, Reply, error)
+	Pace(ctx context.Context, to Target, t Term, task job.Task, attempt, percent int) (Reply, error)
+}
--- /dev/null
+++ b/internal/sched/flush.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"slices"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// Row is the progress of one job that has to be stored.
+type Row struct {
+	ID       job.ID
+	Version  uint64
+	Rev      int64 // of the stored progress that it replaces
+	Progress *job.Progress
+}
+
+// Dirty returns progress that is not in the store yet, at most limit rows.
+func (s *State) Dirty(limit int) []Row {
+	if !s.changed {
+		return nil
+	}
+	var rows []Row
+	for _, w := range s.jobs {
+		if w.flushed == w.version {
+			continue
+		}
+		if len(rows) == limit {
+			return rows
+		}
+		rows = append(rows, Row{ID: w.job.ID, Version: w.version, Rev: int64(w.rev), Progress: w.progress()})
+	}
+	s.changed = len(rows) > 0
+	return rows
+}
+
+// Flushed takes that rows are in the store as of a revision.
+func (s *State) Flushed(rows []Row, rev kv.Revision) {
+	for _, r := range rows {
+		if w := s.jobs[r.ID]; w != nil {
+			w.flushed = max(w.flushed, r.Version)
+			w.rev = rev
+		}
+	}
+	for _, n := range s.nodes {
+		n.settle()
+	}
+}
+
+// Stored takes the revision at which the store holds a job's progress, after a
+// transaction whose answer was lost. The progress is stored again.
+func (s *State) Stored(id job.ID, rev kv.Revision) {
+	if w := s.jobs[id]; w != nil {
+		w.rev = rev
+	}
+}
+
+// Roster returns the runners that a later leader must reach or wait for: those
+// that may run something, and those listed, which may get a run at any moment.
+func (s *State) Roster() []runner.ID {
+	ids := make([]runner.ID, 0, len(s.nodes))
+	for id, n := range s.nodes {
+		if n.listed || len(n.runs) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	for id := range s.roster {
+		if s.nodes[id] == nil && !s.settled {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Rostered takes that the store holds a roster.
+func (s *State) Rostered(ids []runner.ID) {
+	for _, n := range s.nodes {
+		n.rostered = false
+	}
+	for _, id := range ids {
+		if n := s.nodes[id]; n != nil {
+			n.rostered = true
+		}
+	}
+}
+
+// Expired returns jobs whose outcome need no longer be kept, and forgets them.
+func (s *State) Expired(now clock.Boot, limit int) []job.ID {
+	var ids []job.ID
+	for len(s.closed) > 0 && len(ids) < limit {
+		w := s.closed[0]
+		if now.Sub(w.closed) < s.Limits.Keep || w.flushed != w.version {
+			break
+		}
+		s.closed = s.closed[1:]
+		delete(s.jobs, w.job.ID)
+		ids = append(ids, w.job.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/sched/node.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// noted is an end that waits for the progress that it changed to be stored.
+type noted struct {
+	n       int
+	work    *work // nil: nothing to store
+	version uint64
+}
+
+// node is a runner as the leader knows it.
+type node struct {
+	runner.Info
+	listed    bool       // the store lists it
+	unlisted  clock.Boot // since when it is not listed
+	rostered  bool       // the stored roster names it
+	contacted bool       // it has answered an order of this term in this life
+	silent    bool       // its last look got no answer
+	clock     clock.Reading
+	until     clock.Runner // latest lease end ever sent in this term
+	applied   int          // highest end whose effect is in the state
+	noted     int          // highest end whose effect is in the store
+	ends      []noted
+	runs      map[job.Task]*run
+	used      job.Room
+	blocked   clock.Boot // no starts before this
+	cordoned  bool       // leaves for planned work: no new starts
+	health    health
+	lastHeard clock.Boot
+}
+
+func newNode(i runner.Info) *node {
+	return &node{Info: i, runs: make(map[job.Task]*run)}
+}
+
+// free is the room for further tasks.
+func (n *node) free() job.Room { return n.Room.Sub(n.used) }
+
+// usable tells whether new runs may be ordered.
+func (n *node) usable(now clock.Boot) bool {
+	listed := n.listed || now.Sub(n.unlisted) < relistTime
+	return listed && n.rostered && n.contacted && !n.silent && !n.Draining && !n.cordoned && !n.blocked.After(now)
+}
+
+// relistTime is how long a runner that answers is used after the store has
+// dropped its entry: entries that lapsed during an outage of the store are back
+// within two seconds of its return.
+const relistTime = 2 * time.Second
+
+// lapsed tells whether the lease of everything on the runner has surely ended.
+func (n *node) lapsed(now clock.Boot) bool {
+	return n.clock.AtLeast(now) > n.until.Add(lapseMargin)
+}
+
+// lapseMargin covers the rounding of the clocks to milliseconds.
+const lapseMargin = 20 * time.Millisecond
+
+// lease returns a lease end as far ahead as the platform allows. The estimate
+// of the runner's clock may be ahead of it; the runner then shortens the lease.
+func (n *node) lease(now clock.Boot, longest time.Duration) clock.Runner {
+	if n.clock.At == 0 {
+		return 0
+	}
+	until := n.clock.Shown.Add(now.Sub(n.clock.At)).Add(longest)
+	n.until = max(n.until, until)
+	return until
+}
+
+// settle moves the noted mark past ends whose effect is stored.
+func (n *node) settle() {
+	for len(n.ends) > 0 {
+		e := n.ends[0]
+		if e.work != nil && e.work.flushed < e.version {
+			return
+		}
+		n.noted = e.n
+		n.ends = n.ends[1:]
+	}
+}
+
+// drop forgets a run.
+func (n *node) drop(r *run) {
+	if n.runs[r.task.name] == r {
+		delete(n.runs, r.task.name)
+		n.used = n.used.Sub(r.demand)
+	}
+	t := r.task
+	for i, x := range t.runs {
+		if x == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			return
+		}
+	}
+}
+
+// add records a run.
+func (n *node) add(r *run) {
+	n.runs[r.task.name] = r
+	n.used = n.used.Add(r.demand)
+	r.task.runs = append(r.task.runs, r)
+}
--- /dev/null
+++ b/internal/sched/order.go
@@ -0,0 +1,168 @@
+package sched
+
+import (
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// Kind is what an order asks for.
+type Kind int
+
+const (
+	StartRun Kind = iota
+	StopRun
+	PaceRun
+)
+
+func (k Kind) String() string { return [...]string{"start", "stop", "pace"}[k] }
+
+// Order is one order to a runner.
+type Order struct {
+	Kind    Kind
+	To      runner.Target
+	Task    job.Task
+	Attempt int
+	Percent int // of PaceRun
+}
+
+// start records a run and orders it.
+func (s *State) start(t *task, n *node, attempt int, now clock.Boot, why string) *run {
+	r := &run{
+		task: t, attempt: attempt, node: n, demand: t.step.spec.Demand(), ordered: now, pace: 100,
+	}
+	n.add(r)
+	t.attempt = max(t.attempt, attempt)
+	if !t.work.begun {
+		t.work.begun = true
+		s.touch(t.work)
+	}
+	s.orders = append(s.orders, Order{
+		Kind: StartRun, To: runner.Target{ID: n.ID, Addr: n.Addr}, Task: t.name, Attempt: attempt,
+	})
+	s.Logger.Log("msg", "run is ordered", "task", t.name, "attempt", attempt, "runner", n.ID, "service", n.Service,
+		"free", n.free().CPU, "runs", len(n.runs), "heard", now.Sub(n.lastHeard), "waited", now.Sub(t.work.arrived), "why", why)
+	return r
+}
+
+// stop orders the end of a run.
+func (s *State) stop(r *run, why string, now clock.Boot) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase, r.why = stopping, why
+	s.orders = append(s.orders, Order{
+		Kind: StopRun, To: runner.Target{ID: r.node.ID, Addr: r.node.Addr}, Task: r.task.name, Attempt: r.attempt,
+	})
+	s.Logger.Log("msg", "run is stopped", "task", r.task.name, "attempt", r.attempt, "runner", r.node.ID, "why", why)
+}
+
+// Orders takes the orders that are due.
+func (s *State) Orders() []Order {
+	o := s.orders
+	s.orders = nil
+	return o
+}
+
+// find returns the run that an order is about, or nil.
+func (s *State) find(o *Order) *run {
+	n := s.nodes[o.To.ID]
+	if n == nil {
+		return nil
+	}
+	r := n.runs[o.Task]
+	if r == nil || r.attempt != o.Attempt {
+		return nil
+	}
+	return r
+}
+
+// Prepare tells whether an order is still wanted. For a start it returns its
+// content, with the lease as it is now.
+func (s *State) Prepare(o *Order, now clock.Boot) (runner.Start, bool) {
+	r := s.find(o)
+	switch o.Kind {
+	case StopRun:
+		// A stop of a run that the state does not know is sent once.
+		return runner.Start{}, r == nil || (r.phase == stopping && r.stopped == 0)
+	case PaceRun:
+		return runner.Start{}, r != nil && r.phase == running && r.pace == o.Percent
+	case StartRun:
+	}
+	if r == nil || r.phase != starting || r.node.silent {
+		return runner.Start{}, false
+	}
+	st := runner.Start{
+		Task: o.Task, Attempt: o.Attempt, Spec: r.task.work.job.Spec, Until: r.node.lease(now, s.Limits.Hold),
+	}
+	if r.task.step.spec.Saves {
+		st.Saved = r.task.saved
+	}
+	return st, true
+}
+
+// refusedPause keeps starts from a runner that had no room or was unhealthy,
+// until the next look has corrected what is known of it.
+const refusedPause = 100 * time.Millisecond
+
+// Answered takes the answer to an order, or that there was none. It tells
+// whether the order must be sent again.
+func (s *State) Answered(o *Order, reply runner.Reply, answered bool, sent bool, now clock.Boot) bool {
+	r := s.find(o)
+	if r == nil {
+		return o.Kind == StopRun && !answered && s.nodes[o.To.ID] != nil && !s.nodes[o.To.ID].silent
+	}
+	if !answered {
+		if o.Kind == StartRun && sent {
+			r.unsure = true
+		}
+		return !r.node.silent
+	}
+	switch o.Kind {
+	case StartRun:
+		s.startAnswered(r, reply, now)
+	case StopRun:
+		if reply.Verdict == runner.Accepted || reply.Verdict == runner.Superseded {
+			r.stopped = now
+		}
+	case PaceRun:
+	}
+	return false
+}
+
+func (s *State) startAnswered(r *run, reply runner.Reply, now clock.Boot) {
+	if reply.Verdict == runner.Accepted {
+		if r.phase == starting {
+			r.phase, r.confirmed = running, now
+		}
+		return
+	}
+	n := r.node
+	s.Logger.Log("msg", "start is refused", "task", r.task.name, "attempt", r.attempt, "runner", n.ID,
+		"verdict", reply.Verdict, "unsure", r.unsure, "free", n.free().CPU)
+	switch reply.Verdict {
+	case runner.NoRoom, runner.Unhealthy, runner.NoPermit:
+		n.blocked = now.Add(refusedPause)
+	case runner.Expired:
+		n.clock = clock.Reading{Shown: reply.Clock, At: now}
+	case runner.Superseded:
+		if r.phase == starting {
+			// The run may have ended already; the next look tells.
+			r.phase, r.stopped = stopping, now
+		}
+		return
+	case runner.Accepted, runner.Fenced, runner.OtherLife, runner.Invalid:
+	}
+	if r.phase != starting {
+		return
+	}
+	if r.unsure {
+		s.stop(r, "start had no answer, then a refusal", now)
+		return
+	}
+	n.drop(r)
+	r.task.ended = now
+	s.changed = true
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,394 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// SetRunner takes what a runner says of itself in the store.
+func (s *State) SetRunner(i runner.Info, now clock.Boot) {
+	n := s.nodes[i.ID]
+	switch {
+	case n == nil:
+		n = newNode(i)
+		s.nodes[i.ID] = n
+		s.Logger.Log("msg", "runner is listed", "runner", i.ID, "service", i.Service, "machine", i.Machine, "draining", i.Draining)
+	case i.Life < n.Life:
+		return
+	case i.Life > n.Life:
+		s.endLife(n, "runner restarted", now)
+		rostered := n.rostered
+		*n = *newNode(i)
+		n.rostered = rostered
+	default:
+		if n.Draining != i.Draining {
+			s.Logger.Log("msg", "runner changed state", "runner", i.ID, "draining", i.Draining)
+		}
+		n.Info = i
+	}
+	n.listed = true
+}
+
+// UnlistRunner takes that the store no longer lists a runner. It gets no new
+// runs; those that it has go on while it answers.
+func (s *State) UnlistRunner(id runner.ID, now clock.Boot) {
+	n := s.nodes[id]
+	if n == nil || !n.listed {
+		return
+	}
+	n.listed, n.unlisted = false, now
+	s.Logger.Log("msg", "runner is no longer listed", "runner", id, "runs", len(n.runs))
+	s.forget(n, now)
+}
+
+// Unlist unlists the runners for which gone tells so.
+func (s *State) Unlist(gone func(runner.ID) bool, now clock.Boot) {
+	for id, n := range s.nodes {
+		if n.listed && gone(id) {
+			s.UnlistRunner(id, now)
+		}
+	}
+}
+
+// forget removes an unlisted runner that surely runs nothing.
+func (s *State) forget(n *node, now clock.Boot) {
+	if n.listed || len(n.runs) > 0 || (s.roster[n.ID] && !s.settled) {
+		return
+	}
+	if n.contacted && !n.silent && !n.lapsed(now) {
+		return
+	}
+	delete(s.nodes, n.ID)
+	s.changed = true
+}
+
+// endLife takes that all runs on a runner have ended with its life.
+func (s *State) endLife(n *node, why string, now clock.Boot) {
+	for _, r := range runsOf(n) {
+		s.lost(r, why, now)
+	}
+	n.ends = nil
+	delete(s.roster, n.ID)
+}
+
+// GoneRunner takes that another incarnation answers at a runner's address: the
+// one that was meant has ended.
+func (s *State) GoneRunner(id runner.ID, now clock.Boot) {
+	n := s.nodes[id]
+	if n == nil {
+		return
+	}
+	if len(n.runs) > 0 || n.contacted {
+		s.Logger.Log("msg", "another runner answers at the address", "runner", id, "addr", n.Addr, "runs", len(n.runs))
+	}
+	s.endLife(n, "runner is gone", now)
+	n.contacted, n.silent = false, true
+	s.forget(n, now)
+}
+
+// lost takes that a run has ended without a record of how.
+func (s *State) lost(r *run, why string, now clock.Boot) {
+	s.Logger.Log("msg", "run is lost", "task", r.task.name, "attempt", r.attempt, "runner", r.node.ID, "why", why)
+	r.node.drop(r)
+	r.task.ended = now
+	s.changed = true
+}
+
+// Silent takes that a runner has not answered a look.
+func (s *State) Silent(id runner.ID, now clock.Boot) {
+	n := s.nodes[id]
+	if n == nil {
+		return
+	}
+	if !n.silent {
+		n.silent = true
+		s.Logger.Log("msg", "runner does not answer", "runner", id, "service", n.Service, "runs", len(n.runs), "heard", now.Sub(n.lastHeard))
+	}
+}
+
+// Look is the next look at a runner.
+type Look struct {
+	runner.Look
+	To runner.Target
+}
+
+// Look prepares a look. A runner that did not answer the last one is asked
+// without extending its lease, so that its runs can be given up.
+func (s *State) Look(id runner.ID, now clock.Boot) (Look, bool) {
+	n := s.nodes[id]
+	if n == nil {
+		return Look{}, false
+	}
+	l := Look{To: runner.Target{ID: n.ID, Addr: n.Addr}}
+	l.Seen = n.noted
+	if n.contacted && !n.silent {
+		l.Until = n.lease(now, s.Limits.Hold)
+		l.Wait = idleWait
+		if len(n.runs) > 0 {
+			l.Wait = busyWait
+		}
+		if len(n.ends) > 0 {
+			l.Wait = 0 // the runner would answer at once
+		}
+	}
+	return l, true
+}
+
+const (
+	// busyWait is how long a look waits at a runner that runs something. It
+	// bounds the age of what is known of its runs.
+	busyWait = 500 * time.Millisecond
+	// idleWait is how long a look waits at an idle runner.
+	idleWait = 1500 * time.Millisecond
+)
+
+// Report takes the answer to a look that was sent at the instant sent.
+func (s *State) Report(id runner.ID, sent, now clock.Boot, rep *runner.Report) {
+	n := s.nodes[id]
+	if n == nil || rep.Life < n.Life {
+		return
+	}
+	if rep.Life > n.Life {
+		i := n.Info
+		i.Life = rep.Life
+		listed := n.listed
+		s.SetRunner(i, now)
+		n.listed = listed
+	}
+	if n.silent {
+		s.Logger.Log("msg", "runner answers again", "runner", id, "runs", len(rep.Running))
+	}
+	first := !n.contacted
+	n.contacted, n.silent, n.lastHeard = true, false, now
+	n.clock = clock.Reading{Shown: rep.Clock, At: now}
+	s.applyEnds(n, rep.Ends, now)
+	seen := make(map[job.Task]bool, len(rep.Running))
+	for i := range rep.Running {
+		seen[rep.Running[i].Task] = true
+		s.applyRun(n, &rep.Running[i], now)
+	}
+	if len(rep.Ends) < endsPage {
+		s.applyMissing(n, seen, sent, now)
+	}
+	if first {
+		delete(s.roster, id)
+		s.Logger.Log("msg", "runner is reached", "runner", id, "service", n.Service, "runs", len(n.runs), "ends", len(rep.Ends))
+	}
+	n.settle()
+}
+
+// endsPage is how many ends a runner lists at once.
+const endsPage = 500
+
+// applyRun takes that a runner runs something.
+func (s *State) applyRun(n *node, row *runner.Run, now clock.Boot) {
+	r := n.runs[row.Task]
+	if r == nil || r.attempt != row.Attempt {
+		r = s.adopt(n, row, now)
+		if r == nil {
+			return
+		}
+	}
+	if r.confirmed == 0 {
+		r.confirmed = now
+	}
+	if r.phase == starting {
+		r.phase = running
+	}
+	r.percent, r.load = row.Percent, row.Load
+	if row.Saved != "" {
+		r.task.saved = row.Saved
+	}
+}
+
+// adopt takes a run that this term has not ordered, or not with this attempt.
+// A run that nothing needs is stopped.
+func (s *State) adopt(n *node, row *runner.Run, now clock.Boot) *run {
+	w := s.jobs[row.Task.Job]
+	var t *task
+	if w != nil {
+		t = w.task(row.Task)
+	}
+	if t == nil {
+		s.Logger.Log("msg", "runner runs an unknown task", "runner", n.ID, "task", row.Task)
+		s.orders = append(s.orders, Order{Kind: StopRun, To: runner.Target{ID: n.ID, Addr: n.Addr}, Task: row.Task, Attempt: row.Attempt})
+		return nil
+	}
+	if old := n.runs[row.Task]; old != nil {
+		if old.attempt > row.Attempt {
+			// The stop of the older run is on its way.
+			s.orders = append(s.orders, Order{Kind: StopRun, To: runner.Target{ID: n.ID, Addr: n.Addr}, Task: row.Task, Attempt: row.Attempt})
+			return nil
+		}
+		n.drop(old)
+	}
+	r := &run{
+		task: t, attempt: row.Attempt, node: n, phase: running, demand: t.step.spec.Demand(),
+		ordered: now, confirmed: now, pace: 100,
+	}
+	n.add(r)
+	t.attempt = max(t.attempt, row.Attempt)
+	w.begun = true
+	s.Logger.Log("msg", "run is adopted", "task", row.Task, "attempt", row.Attempt, "runner", n.ID)
+	switch {
+	case !w.open():
+		s.stop(r, "job has ended", now)
+	case t.done:
+		s.stop(r, "task is done", now)
+	case len(t.runs) > 1 && !t.step.spec.Speculative:
+		s.stop(r, "task runs elsewhere", now)
+	}
+	return r
+}
+
+// applyMissing takes that runs confirmed before the look was sent are neither
+// listed as running nor as ended.
+func (s *State) applyMissing(n *node, seen map[job.Task]bool, sent, now clock.Boot) {
+	for _, r := range runsOf(n) {
+		if seen[r.task.name] {
+			continue
+		}
+		switch {
+		case r.phase == stopping && r.stopped != 0 && sent.After(r.stopped):
+			s.lost(r, "stopped before it began", now)
+		case r.phase != starting && r.confirmed != 0 && sent.After(r.confirmed) && r.phase != stopping:
+			s.lost(r, "runner does not list it", now)
+		}
+	}
+}
+
+// applyEnds takes the runs that have ended on a runner.
+func (s *State) applyEnds(n *node, ends []runner.End, now clock.Boot) {
+	for i := range ends {
+		e := &ends[i]
+		if e.N <= n.applied {
+			continue
+		}
+		n.applied = e.N
+		w := s.applyEnd(n, e, now)
+		mark := noted{n: e.N, work: w}
+		if w != nil {
+			mark.version = w.version
+		}
+		n.ends = append(n.ends, mark)
+	}
+}
+
+// applyEnd takes one end and returns the job whose progress it changed, or nil.
+func (s *State) applyEnd(n *node, e *runner.End, now clock.Boot) *work {
+	w := s.jobs[e.Task.Job]
+	if w == nil {
+		return nil
+	}
+	t := w.task(e.Task)
+	if t == nil {
+		return nil
+	}
+	if r := n.runs[e.Task]; r != nil && r.attempt <= e.Attempt {
+		n.drop(r)
+	}
+	t.attempt = max(t.attempt, e.Attempt)
+	t.ended = now
+	s.changed = true
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	s.Logger.Log("msg", "run has ended", "task", e.Task, "attempt", e.Attempt, "runner", n.ID, "cause", e.Cause, "n", e.N)
+	if !w.open() {
+		return w
+	}
+	switch e.Cause {
+	case runner.Done:
+		n.health.succeeded()
+		s.finish(t, now)
+	case runner.Failed:
+		if n.health.failed(w.job.ID, now) {
+			s.Logger.Log("msg", "runner is set aside", "runner", n.ID, "jobs", len(n.health.failing), "pause", n.health.pause)
+		}
+		s.failed(t, n.ID, e.Attempt, now)
+	case runner.Stopped, runner.Lapsed, runner.Broken, runner.Alone:
+		s.touch(w) // keeps the highest attempt
+	}
+	return w
+}
+
+// finish takes that a task is done.
+func (s *State) finish(t *task, now clock.Boot) {
+	w := t.work
+	s.touch(w)
+	if t.step.spec.Lasting {
+		return // runs again until its job is cancelled
+	}
+	ts := []*task{t}
+	if t.step.spec.Gang {
+		ts = t.step.tasks
+	}
+	for _, x := range ts {
+		if x.done {
+			continue
+		}
+		x.done = true
+		x.step.done++
+		for _, r := range slices.Clone(x.runs) {
+			if !x.step.spec.Gang {
+				s.stop(r, "another copy is done", now)
+			}
+		}
+	}
+	if t.step.complete() {
+		t.step.occ.done++
+		if t.step.occ.done == len(t.step.occ.steps) {
+			w.finished++
+		}
+		s.conclude(w, now)
+	}
+}
+
+// failed takes that a run of a task ended as failed, through its own fault or
+// the runner's.
+func (s *State) failed(t *task, on runner.ID, attempt int, now clock.Boot) {
+	w := t.work
+	s.touch(w)
+	if t.step.spec.Gang {
+		t = t.step.tasks[0] // a gang fails as one
+	}
+	if !slices.Contains(t.failed, attempt) {
+		t.failed = append(t.failed, attempt)
+	}
+	t.avoid = append(t.avoid, on)
+	if t.step.spec.Lasting || t.done {
+		return
+	}
+	if len(t.failed) >= s.attempts(w) {
+		s.close(w, job.Failed, "task "+t.name.String()+" failed too often", now)
+	}
+}
+
+// runsOf returns the runs on a runner in a stable order.
+func runsOf(n *node) []*run {
+	rs := make([]*run, 0, len(n.runs))
+	for _, r := range n.runs {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b *run) int { return compareTasks(a.task.name, b.task.name) })
+	return rs
+}
+
+func compareTasks(a, b job.Task) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occ != b.Occ:
+		return a.Occ - b.Occ
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
