sched: run upkeep waves, and keep what may run in the roster

The roster now closes the row of a silent runner with the tasks that may run there and the time that its lease has left; intents to order machines are stored before the orders.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,6 +22,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/ask"
 	"gypsumtrestle.example/gypsumtrestle/internal/entry"
 	"gypsumtrestle.example/gypsumtrestle/internal/lead"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/metric"
 	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 	"gypsumtrestle.example/gypsumtrestle/platform"
@@ -62,13 +63,18 @@
 	}
 	d.intake = entry.NewIntake(store, log.With(logger, "part", "intake"))
 	d.leader = lead.New(lead.Config{
-		Self:      lead.Holder{Name: s.Name, Addr: s.Peer, Incarnation: d.incarnation},
-		Store:     store,
-		Runners:   &platform.Runners{},
-		Servers:   lead.Directory{Prefix: platform.ServersPrefix, Decode: platform.DecodeServer},
+		Self:    lead.Holder{Name: s.Name, Addr: s.Peer, Incarnation: d.incarnation},
+		Store:   store,
+		Runners: &platform.Runners{},
+		Servers: lead.Directory{Prefix: platform.ServersPrefix, Decode: platform.DecodeServer},
+		Waves: lead.Waves{
+			Prefix: platform.WavePrefix, Decode: platform.DecodeWave, Status: platform.WaveStatus,
+		},
+		Machines:  machines(s.Machines),
 		Operators: d.operators.Config,
 		Limits: sched.Limits{
 			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
+			Upkeep: s.Bounds.Upkeep, Turn: s.Bounds.Lease,
 		},
 		Logger: log.With(logger, "part", "lead"),
 	})
@@ -85,6 +91,14 @@
 	return d
 }
 
+// machines returns the machines' API, or nil if the platform has none.
+func machines(addr netip.AddrPort) machine.API {
+	if !addr.IsValid() {
+		return nil
+	}
+	return platform.NewMachines(addr)
+}
+
 // ready tells the load balancer whether to send new connections here.
 func (d *Daemon) ready() bool {
 	return !d.stopping.Load() && d.operators.Config() != nil && d.operators.Heard(time.Now().Add(-storeAge))
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -13,6 +13,7 @@
 	LeaderKey      = "gt/in/leader"
 	ProgressPrefix = "gt/progress/"
 	RosterKey      = "gt/roster"
+	MachinesKey    = "gt/machines"
 )
 
 // JobKey is where an accepted job lies.
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
-
-	"github.com/fxamacker/cbor/v2"
+	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 )
 
 const (
@@ -64,6 +64,8 @@
 			return 0, errDeposed
 		case it.Key == job.RosterKey:
 			x.inherit(it)
+		case it.Key == job.MachinesKey:
+			x.inheritIntents(it)
 		}
 		if _, ok := job.IDOf(it.Key, job.JobPrefix); ok {
 			x.addJob(it, progress)
@@ -79,14 +81,12 @@
 
 // inherit takes the roster of the earlier terms.
 func (x *term) inherit(it kv.Item) {
-	var ids []runner.ID
-	if err := cbor.Unmarshal(it.Value, &ids); err != nil {
+	var rows []sched.RosterRow
+	if err := cbor.Unmarshal(it.Value, &rows); err != nil {
 		x.logger.Log("msg", "roster cannot be read", "rev", int64(it.Rev), "err", err)
 	}
-	for _, id := range ids {
-		x.state.Inherit(id)
-	}
-	x.rosterRev, x.roster = it.Rev, ids
+	x.state.Inherit(rows)
+	x.rosterRev, x.roster = it.Rev, rows
 }
 
 // addJob takes a job that was accepted.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -14,6 +14,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 )
@@ -46,12 +47,23 @@
 	Decode func(key string, value []byte) (*runner.Info, error)
 }
 
+// Waves is where operators ask for waves and read their state.
+type Waves struct {
+	Prefix string
+	Decode func(value []byte) (*machine.Wave, error)
+	// Status returns the key and value that tell operators of a wave.
+	Status func(number int, completed bool) (key string, value []byte, err error)
+}
+
 // Config is what a Leader needs. All fields must be set.
 type Config struct {
 	Self    Holder
 	Store   kv.Store
 	Runners runner.Client
 	Servers Directory
+	Waves   Waves
+	// Machines is nil where the platform has no API for machines.
+	Machines machine.API
 	// Operators returns the configuration in force, or nil.
 	Operators func() *job.Config
 	Limits    sched.Limits
@@ -188,6 +200,8 @@
 	// The last order of an earlier leader may extend a runner's lease by the
 	// longest hold, on a clock that may be slow.
 	limits.Takeover = StopAfter + limits.Hold + limits.Hold/20
+	// An earlier leader orders machines only while its lease surely holds.
+	limits.Turn += leaseTime
 	tctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &term{
@@ -274,8 +288,10 @@
 	lookers map[runner.ID]bool
 	wg      sync.WaitGroup
 
-	roster    []runner.ID // as stored
-	rosterRev kv.Revision
+	roster     []sched.RosterRow // as stored
+	rosterRev  kv.Revision
+	intentsRev kv.Revision
+	closing    bool // no order is on its way any more
 }
 
 // run loads the state, works until the term is lost, and gives the key up.
@@ -286,6 +302,7 @@
 		ready()
 		x.spawn(func() { x.watchInput(ctx, inputRev) })
 		x.spawn(func() { x.watchServers(ctx, serversRev) })
+		x.spawn(func() { x.watchWaves(ctx) })
 		x.spawn(func() { x.flushAlways(ctx) })
 		x.spawn(func() { x.plan(ctx) })
 	}
@@ -313,6 +330,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTime)
 	defer cancel()
+	x.closing = true
 	if _, err := x.flush(ctx); err != nil {
 		x.logger.Log("msg", "progress is not stored at the end of the term", "err", err)
 	}
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"reflect"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,7 +55,12 @@
 		orders := x.state.Orders()
 		x.mu.Unlock()
 		for i := range orders {
-			x.spawn(func() { x.order(ctx, orders[i]) })
+			switch orders[i].Kind {
+			case sched.UpkeepMachine, sched.MoveMachine:
+				x.spawn(func() { x.orderMachine(ctx, orders[i]) })
+			case sched.StartRun, sched.StopRun, sched.PaceRun:
+				x.spawn(func() { x.order(ctx, orders[i]) })
+			}
 		}
 		pause(ctx, planGap)
 	}
@@ -79,6 +84,8 @@
 			reply, err = x.cfg.Runners.Stop(ctx, o.To, x.id, o.Task, o.Attempt)
 		case sched.PaceRun:
 			reply, err = x.cfg.Runners.Pace(ctx, o.To, x.id, o.Task, o.Attempt, o.Percent)
+		case sched.UpkeepMachine, sched.MoveMachine:
+			return // orderMachine sends these
 		}
 		if err != nil && ctx.Err() == nil {
 			x.logger.Log("msg", "order has no answer", "kind", o.Kind, "task", o.Task, "attempt", o.Attempt, "runner", o.To.ID, "err", err)
@@ -182,6 +189,12 @@
 	if err := x.expire(ctx); err != nil {
 		return 0, err
 	}
+	if err := x.storeIntents(ctx); err != nil {
+		return 0, err
+	}
+	if err := x.storeWaves(ctx); err != nil {
+		return 0, err
+	}
 	x.mu.Lock()
 	rows := x.state.Dirty(flushRows)
 	x.mu.Unlock()
@@ -231,15 +244,15 @@
 // storeRoster stores which runners may be used, before they are.
 func (x *term) storeRoster(ctx context.Context) error {
 	x.mu.Lock()
-	ids := x.state.Roster()
+	rows := x.state.Roster(clock.Now(), x.closing)
 	x.mu.Unlock()
-	if x.rosterRev != 0 && slices.Equal(ids, x.roster) {
+	if x.rosterRev != 0 && reflect.DeepEqual(rows, x.roster) {
 		x.mu.Lock()
-		x.state.Rostered(ids)
+		x.state.Rostered(rows)
 		x.mu.Unlock()
 		return nil
 	}
-	b, err := cbor.Marshal(ids)
+	b, err := cbor.Marshal(rows)
 	if err != nil {
 		return errors.Wrap(err, "encode roster")
 	}
@@ -261,9 +274,9 @@
 	if err != nil {
 		return errors.Wrap(err, "store roster")
 	}
-	x.rosterRev, x.roster = rev, ids
+	x.rosterRev, x.roster = rev, rows
 	x.mu.Lock()
-	x.state.Rostered(ids)
+	x.state.Rostered(rows)
 	x.mu.Unlock()
 	x.wake()
 	return nil
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -1,12 +1,9 @@
 package sched
 
 import (
-	"slices"
-
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
-	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // Row is the progress of one job that has to be stored.
@@ -57,36 +54,6 @@
 	}
 }
 
-// Roster returns the runners that a later leader must reach or wait for: those
-// that may run something, and those listed, which may get a run at any moment.
-func (s *State) Roster() []runner.ID {
-	ids := make([]runner.ID, 0, len(s.nodes))
-	for id, n := range s.nodes {
-		if n.listed || len(n.runs) > 0 {
-			ids = append(ids, id)
-		}
-	}
-	for id := range s.roster {
-		if s.nodes[id] == nil && !s.settled {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// Rostered takes that the store holds a roster.
-func (s *State) Rostered(ids []runner.ID) {
-	for _, n := range s.nodes {
-		n.rostered = false
-	}
-	for _, id := range ids {
-		if n := s.nodes[id]; n != nil {
-			n.rostered = true
-		}
-	}
-}
-
 // Expired returns jobs whose outcome need no longer be kept, and forgets them.
 func (s *State) Expired(now clock.Boot, limit int) []job.ID {
 	var ids []job.ID
--- a/internal/sched/node.go
+++ b/internal/sched/node.go
@@ -20,7 +20,7 @@
 	runner.Info
 	listed    bool       // the store lists it
 	unlisted  clock.Boot // since when it is not listed
-	rostered  bool       // the stored roster names it
+	over      bool       // this life has ended
 	contacted bool       // it has answered an order of this term in this life
 	silent    bool       // its last look got no answer
 	clock     clock.Reading
@@ -43,12 +43,6 @@
 // free is the room for further tasks.
 func (n *node) free() job.Room { return n.Room.Sub(n.used) }
 
-// usable tells whether new runs may be ordered.
-func (n *node) usable(now clock.Boot) bool {
-	listed := n.listed || now.Sub(n.unlisted) < relistTime
-	return listed && n.rostered && n.contacted && !n.silent && !n.Draining && !n.cordoned && !n.blocked.After(now)
-}
-
 // relistTime is how long a runner that answers is used after the store has
 // dropped its entry: entries that lapsed during an outage of the store are back
 // within two seconds of its return.
@@ -62,13 +56,20 @@
 // lapseMargin covers the rounding of the clocks to milliseconds.
 const lapseMargin = 20 * time.Millisecond
 
+// usable tells whether new runs may be ordered on a runner.
+func (s *State) usable(n *node, now clock.Boot) bool {
+	listed := n.listed || now.Sub(n.unlisted) < relistTime
+	return listed && !n.over && s.rostered[n.ID] && n.contacted && !n.silent && !n.Draining && !n.cordoned && !n.blocked.After(now)
+}
+
 // lease returns a lease end as far ahead as the platform allows. The estimate
 // of the runner's clock may be ahead of it; the runner then shortens the lease.
-func (n *node) lease(now clock.Boot, longest time.Duration) clock.Runner {
-	if n.clock.At == 0 {
-		return 0
+// It is not extended while the stored roster has no open row for the runner.
+func (s *State) lease(n *node, now clock.Boot) clock.Runner {
+	if !s.rostered[n.ID] {
+		return n.until
 	}
-	until := n.clock.Shown.Add(now.Sub(n.clock.At)).Add(longest)
+	until := n.clock.Shown.Add(now.Sub(n.clock.At)).Add(s.Limits.Hold)
 	n.until = max(n.until, until)
 	return until
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -5,6 +5,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -15,17 +16,24 @@
 	StartRun Kind = iota
 	StopRun
 	PaceRun
+	UpkeepMachine
+	MoveMachine
 )
 
-func (k Kind) String() string { return [...]string{"start", "stop", "pace"}[k] }
+func (k Kind) String() string {
+	return [...]string{"start", "stop", "pace", "upkeep", "move"}[k]
+}
 
-// Order is one order to a runner.
+// Order is one order to a runner or to a machine.
 type Order struct {
 	Kind    Kind
 	To      runner.Target
 	Task    job.Task
 	Attempt int
 	Percent int // of PaceRun
+	Machine machine.ID
+	Wave    int    // of UpkeepMachine
+	Pool    string // of MoveMachine
 }
 
 // start records a run and orders it.
@@ -89,13 +97,13 @@
 		return runner.Start{}, r == nil || (r.phase == stopping && r.stopped == 0)
 	case PaceRun:
 		return runner.Start{}, r != nil && r.phase == running && r.pace == o.Percent
-	case StartRun:
+	case StartRun, UpkeepMachine, MoveMachine:
 	}
 	if r == nil || r.phase != starting || r.node.silent {
 		return runner.Start{}, false
 	}
 	st := runner.Start{
-		Task: o.Task, Attempt: o.Attempt, Spec: r.task.work.job.Spec, Until: r.node.lease(now, s.Limits.Hold),
+		Task: o.Task, Attempt: o.Attempt, Spec: r.task.work.job.Spec, Until: s.lease(r.node, now),
 	}
 	if r.task.step.spec.Saves {
 		st.Saved = r.task.saved
@@ -127,7 +135,7 @@
 		if reply.Verdict == runner.Accepted || reply.Verdict == runner.Superseded {
 			r.stopped = now
 		}
-	case PaceRun:
+	case PaceRun, UpkeepMachine, MoveMachine:
 	}
 	return false
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -20,9 +20,10 @@
 	s.expire(now)
 	s.settle(now)
 	s.release(wall)
+	s.planWaves(now)
 	pools := make(map[string][]*node)
 	for _, n := range s.nodes {
-		if n.usable(now) {
+		if s.usable(n, now) {
 			pools[n.Service] = append(pools[n.Service], n)
 		}
 	}
@@ -36,12 +37,20 @@
 	}
 }
 
+// returnGrace is how long a task that does not last waits after the lease of
+// its run has lapsed. The runner may come back with an end of that run, and a
+// second run would then have been for nothing.
+const returnGrace = 2 * time.Second
+
 // expire gives up the runs of runners whose lease has surely lapsed.
 func (s *State) expire(now clock.Boot) {
 	for _, n := range s.nodes {
 		if n.contacted && n.silent && len(n.runs) > 0 && n.lapsed(now) {
 			for _, r := range runsOf(n) {
 				s.lost(r, "lease has lapsed", now)
+				if !r.task.step.spec.Lasting {
+					r.task.after = now.Add(returnGrace)
+				}
 			}
 		}
 		if !n.listed {
@@ -50,18 +59,6 @@
 	}
 }
 
-// settle notes when no run of an earlier term can be unknown any more.
-func (s *State) settle(now clock.Boot) {
-	if s.settled {
-		return
-	}
-	if len(s.roster) == 0 || now.Sub(s.began) > s.Limits.Takeover {
-		s.settled = true
-		s.Logger.Log("msg", "all runs of earlier terms are known", "term", s.Term, "unreached", len(s.roster), "after", now.Sub(s.began))
-		s.changed = true
-	}
-}
-
 // release creates the occurrences that are due.
 func (s *State) release(wall time.Time) {
 	for _, ws := range s.open {
@@ -84,7 +81,7 @@
 	if t.done || t.live() || t.after.After(now) {
 		return false
 	}
-	return s.settled || t.work.created > kv.Revision(s.Term)
+	return s.known(t)
 }
 
 // bid is an occurrence that waits for room, with its rank.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -21,9 +21,7 @@
 		return
 	case i.Life > n.Life:
 		s.endLife(n, "runner restarted", now)
-		rostered := n.rostered
 		*n = *newNode(i)
-		n.rostered = rostered
 	default:
 		if n.Draining != i.Draining {
 			s.Logger.Log("msg", "runner changed state", "runner", i.ID, "draining", i.Draining)
@@ -56,10 +54,10 @@
 
 // forget removes an unlisted runner that surely runs nothing.
 func (s *State) forget(n *node, now clock.Boot) {
-	if n.listed || len(n.runs) > 0 || (s.roster[n.ID] && !s.settled) {
+	if n.listed || len(n.runs) > 0 || s.inherited[n.ID] != nil {
 		return
 	}
-	if n.contacted && !n.silent && !n.lapsed(now) {
+	if n.contacted && !n.silent && !n.over && !n.lapsed(now) {
 		return
 	}
 	delete(s.nodes, n.ID)
@@ -72,7 +70,8 @@
 		s.lost(r, why, now)
 	}
 	n.ends = nil
-	delete(s.roster, n.ID)
+	n.over, n.silent = true, true
+	delete(s.inherited, n.ID)
 }
 
 // GoneRunner takes that another incarnation answers at a runner's address: the
@@ -82,11 +81,10 @@
 	if n == nil {
 		return
 	}
-	if len(n.runs) > 0 || n.contacted {
+	if !n.over {
 		s.Logger.Log("msg", "another runner answers at the address", "runner", id, "addr", n.Addr, "runs", len(n.runs))
 	}
 	s.endLife(n, "runner is gone", now)
-	n.contacted, n.silent = false, true
 	s.forget(n, now)
 }
 
@@ -126,7 +124,7 @@
 	l := Look{To: runner.Target{ID: n.ID, Addr: n.Addr}}
 	l.Seen = n.noted
 	if n.contacted && !n.silent {
-		l.Until = n.lease(now, s.Limits.Hold)
+		l.Until = s.lease(n, now)
 		l.Wait = idleWait
 		if len(n.runs) > 0 {
 			l.Wait = busyWait
@@ -149,7 +147,7 @@
 // Report takes the answer to a look that was sent at the instant sent.
 func (s *State) Report(id runner.ID, sent, now clock.Boot, rep *runner.Report) {
 	n := s.nodes[id]
-	if n == nil || rep.Life < n.Life {
+	if n == nil || rep.Life < n.Life || (n.over && rep.Life == n.Life) {
 		return
 	}
 	if rep.Life > n.Life {
@@ -175,7 +173,9 @@
 		s.applyMissing(n, seen, sent, now)
 	}
 	if first {
-		delete(s.roster, id)
+		delete(s.inherited, id)
+		// An earlier term may have extended the lease as far as is allowed.
+		n.until = rep.Clock.Add(s.Limits.Hold)
 		s.Logger.Log("msg", "runner is reached", "runner", id, "service", n.Service, "runs", len(n.runs), "ends", len(rep.Ends))
 	}
 	n.settle()
@@ -327,11 +327,12 @@
 	if t.step.spec.Gang {
 		ts = t.step.tasks
 	}
+	fresh := false
 	for _, x := range ts {
 		if x.done {
 			continue
 		}
-		x.done = true
+		x.done, fresh = true, true
 		x.step.done++
 		for _, r := range slices.Clone(x.runs) {
 			if !x.step.spec.Gang {
@@ -339,7 +340,8 @@
 			}
 		}
 	}
-	if t.step.complete() {
+	// An end may be listed again, after a change of the leader for example.
+	if fresh && t.step.complete() {
 		t.step.occ.done++
 		if t.step.occ.done == len(t.step.occ.steps) {
 			w.finished++
--- /dev/null
+++ b/internal/sched/roster.go
@@ -0,0 +1,163 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// RosterRow is a runner on which something may run, as a later term must know
+// it. The roster in the store is never behind: a runner gets an order or a
+// longer lease only while its stored row is open.
+type RosterRow struct {
+	ID runner.ID `cbor:"1,keyasint"`
+	// Closed tells that the runner gets no new runs and no longer lease, so
+	// that only Tasks may run there, and not for longer than Left.
+	Closed bool          `cbor:"2,keyasint,omitempty"`
+	Left   time.Duration `cbor:"3,keyasint,omitempty"`
+	Tasks  []string      `cbor:"4,keyasint,omitempty"`
+}
+
+// inherited is a row of an earlier term whose runner this term has not reached.
+type inherited struct {
+	closed bool
+	until  clock.Boot // nothing of an earlier term runs after this
+	tasks  []job.Task
+}
+
+const (
+	// leftStep rounds the time left of a closed row, so that the roster is not
+	// stored at every change.
+	leftStep = 2 * time.Second
+	// slowClock lengthens a lease by more than a runner's clock may be slow.
+	slowClock = 1.03
+)
+
+// Inherit takes the roster of earlier terms. The term must not have begun to
+// plan.
+func (s *State) Inherit(rows []RosterRow) {
+	for _, r := range rows {
+		in := &inherited{closed: r.Closed, until: s.began.Add(s.Limits.Takeover)}
+		if r.Closed {
+			in.until = s.began.Add(time.Duration(float64(r.Left) * slowClock))
+		}
+		for _, name := range r.Tasks {
+			t, err := job.ParseTask(name)
+			if err != nil {
+				s.Logger.Log("msg", "roster names a task that cannot be read", "runner", r.ID, "err", err)
+				in.closed = false
+				in.until = s.began.Add(s.Limits.Takeover)
+				continue
+			}
+			in.tasks = append(in.tasks, t)
+		}
+		s.inherited[r.ID] = in
+	}
+	s.Rostered(rows)
+}
+
+// Roster returns the rows that the store must hold now. Runners without an open
+// row get no orders from here on, until one is stored.
+func (s *State) Roster(now clock.Boot, closing bool) []RosterRow {
+	var rows []RosterRow
+	for id, n := range s.nodes {
+		r, ok := s.rosterRow(n, now, closing)
+		if ok {
+			rows = append(rows, r)
+		}
+		if !ok || r.Closed {
+			s.rostered[id] = false
+		}
+	}
+	for id, in := range s.inherited {
+		if s.nodes[id] == nil && in.until.After(now) {
+			rows = append(rows, in.row(id, now))
+		}
+	}
+	slices.SortFunc(rows, func(a, b RosterRow) int { return cmp.Compare(a.ID, b.ID) })
+	return rows
+}
+
+// row returns the row of a runner that this term has not reached.
+func (in *inherited) row(id runner.ID, now clock.Boot) RosterRow {
+	r := RosterRow{ID: id, Closed: in.closed}
+	if in.closed {
+		r.Left = roundLeft(in.until.Sub(now))
+		for _, t := range in.tasks {
+			r.Tasks = append(r.Tasks, t.String())
+		}
+	}
+	return r
+}
+
+func (s *State) rosterRow(n *node, now clock.Boot, closing bool) (RosterRow, bool) {
+	if in := s.inherited[n.ID]; in != nil && !n.contacted {
+		return in.row(n.ID, now), in.until.After(now)
+	}
+	if n.over || !n.contacted {
+		return RosterRow{}, false
+	}
+	if !n.silent && !closing {
+		return RosterRow{ID: n.ID}, n.listed || len(n.runs) > 0
+	}
+	if len(n.runs) == 0 {
+		return RosterRow{}, false
+	}
+	left := time.Duration(n.until-n.clock.AtLeast(now)) * time.Millisecond
+	if closing {
+		left = s.Limits.Hold
+	}
+	r := RosterRow{ID: n.ID, Closed: true, Left: roundLeft(left)}
+	for _, x := range runsOf(n) {
+		r.Tasks = append(r.Tasks, x.task.name.String())
+	}
+	return r, true
+}
+
+func roundLeft(d time.Duration) time.Duration {
+	return max(d+leftStep-1, 0).Truncate(leftStep)
+}
+
+// Rostered takes that the store holds a roster.
+func (s *State) Rostered(rows []RosterRow) {
+	clear(s.rostered)
+	for _, r := range rows {
+		s.rostered[r.ID] = !r.Closed
+	}
+}
+
+// settle forgets rows of earlier terms that no longer matter, and collects the
+// tasks that may run on the runners of the others.
+func (s *State) settle(now clock.Boot) {
+	if len(s.inherited) == 0 {
+		s.reached, s.possible = true, nil
+		return
+	}
+	s.reached, s.possible = true, make(map[job.Task]bool)
+	for id, in := range s.inherited {
+		if !in.until.After(now) {
+			s.Logger.Log("msg", "runs of earlier terms have lapsed", "runner", id, "closed", in.closed, "tasks", len(in.tasks))
+			delete(s.inherited, id)
+			s.changed = true
+			continue
+		}
+		s.reached = s.reached && in.closed
+		for _, t := range in.tasks {
+			s.possible[t] = true
+		}
+	}
+}
+
+// known tells whether all runs of a task that earlier terms may have started
+// are known.
+func (s *State) known(t *task) bool {
+	if t.work.created > kv.Revision(s.Term) {
+		return true
+	}
+	return s.reached && !s.possible[t.name]
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -9,6 +9,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -21,6 +22,10 @@
 	Takeover time.Duration
 	Early    time.Duration // how much before its time a task may start
 	Gang     time.Duration
+	Upkeep   time.Duration // a machine in upkeep is back after this
+	// Turn is how long after the begin of a term a machine must not be ordered
+	// that an earlier term may have ordered.
+	Turn time.Duration
 }
 
 // State is what the leader of one term knows. It is not safe for concurrent
@@ -30,16 +35,24 @@
 	Limits Limits
 	Logger log.Logger
 
-	began   clock.Boot
-	cfg     *job.Config
-	jobs    map[job.ID]*work
-	open    map[string][]*work // by service, in order of acceptance
-	nodes   map[runner.ID]*node
-	roster  map[runner.ID]bool // runners that earlier terms may have used and that this one has not reached
-	settled bool               // roster is empty or has surely lapsed
-	orders  []Order
-	changed bool // a flush is due
-	closed  []*work
+	began clock.Boot
+	cfg   *job.Config
+	jobs  map[job.ID]*work
+	open  map[string][]*work // by service, in order of acceptance
+	nodes map[runner.ID]*node
+	// inherited is what earlier terms may have left on runners that this term
+	// has not reached.
+	inherited map[runner.ID]*inherited
+	rostered  map[runner.ID]bool // the stored roster has an open row
+	reached   bool               // no open row is inherited any more
+	possible  map[job.Task]bool  // tasks of inherited closed rows
+	orders    []Order
+	changed   bool // a flush is due
+	closed    []*work
+	waves     map[int]*wave
+	intents   map[machine.ID]Intent
+	// intended is what the store holds of intents.
+	intended map[machine.ID]Intent
 }
 
 // New returns the state at the begin of a term.
@@ -47,13 +60,11 @@
 	return &State{
 		Term: t, Limits: l, Logger: logger, began: now,
 		jobs: make(map[job.ID]*work), open: make(map[string][]*work),
-		nodes: make(map[runner.ID]*node), roster: make(map[runner.ID]bool),
+		nodes: make(map[runner.ID]*node), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
+		waves: make(map[int]*wave), intents: make(map[machine.ID]Intent),
 	}
 }
 
-// Inherit names a runner that an earlier term may have used.
-func (s *State) Inherit(id runner.ID) { s.roster[id] = true }
-
 // Configure puts a configuration in force.
 func (s *State) Configure(c *job.Config) {
 	s.cfg = c
--- /dev/null
+++ b/internal/sched/wave.go
@@ -0,0 +1,389 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// upkeepPhase is how far a machine has come in its wave.
+type upkeepPhase int
+
+const (
+	waiting  upkeepPhase = iota
+	draining             // its runner gets no new runs
+	ordered              // the order has been sent, or may have been
+	down                 // the order was accepted
+	back                 // it is up again, or has left
+)
+
+// upkeep is one machine of a wave.
+type upkeep struct {
+	id     machine.ID
+	wave   *wave
+	phase  upkeepPhase
+	since  clock.Boot
+	runner runner.ID // when the order was sent
+	life   runner.Life
+	after  clock.Boot // not ordered before this
+	sent   bool       // an order is on its way
+}
+
+// wave is a wave that is not completed, or whose completion is not stored.
+type wave struct {
+	machine.Wave
+	upkeeps   []*upkeep
+	due       clock.Boot
+	completed bool
+	shown     string // status that the store has
+}
+
+const (
+	// backTime is how much longer than the platform says a machine may take to
+	// come back before it is taken as lost.
+	backTime = 5 * time.Second
+	// offTime is the same for a machine that had no runner.
+	offTime = 500 * time.Millisecond
+	// drainTime is how long a machine may wait for its runs to end before they
+	// are stopped, if the wave is pressed for time.
+	drainTime = 4 * time.Second
+	// serviceShare is the divisor of the part of a service's runners that a
+	// wave may take at once while it is in time.
+	serviceShare = 3
+	// machineRetry follows an order to a machine that was refused.
+	machineRetry = 300 * time.Millisecond
+)
+
+// SetWave takes a wave that operators ask for.
+func (s *State) SetWave(w machine.Wave, completed bool, now clock.Boot) {
+	if s.waves[w.Number] != nil {
+		return
+	}
+	x := &wave{Wave: w, due: now.Add(w.Within), completed: completed}
+	if completed {
+		x.shown = statusCompleted
+	}
+	for _, id := range w.Machines {
+		u := &upkeep{id: id, wave: x}
+		if s.intents[id].Wave >= w.Number {
+			u.phase = back
+		}
+		x.upkeeps = append(x.upkeeps, u)
+	}
+	s.waves[w.Number] = x
+	s.Logger.Log("msg", "wave is asked for", "wave", w.Number, "machines", len(w.Machines), "cap", w.Cap, "within", w.Within, "completed", completed)
+}
+
+const (
+	statusRunning   = "running"
+	statusCompleted = "completed"
+)
+
+// WaveStatus is a state of a wave that the store does not show yet.
+type WaveStatus struct {
+	Number    int
+	Completed bool
+}
+
+// WaveStatuses returns what the store must show.
+func (s *State) WaveStatuses() []WaveStatus {
+	var sts []WaveStatus
+	for _, w := range s.waves {
+		want := statusRunning
+		if w.completed {
+			want = statusCompleted
+		}
+		if w.shown != want {
+			sts = append(sts, WaveStatus{Number: w.Number, Completed: w.completed})
+		}
+	}
+	return sts
+}
+
+// WaveShown takes that the store shows the state of a wave.
+func (s *State) WaveShown(st WaveStatus) {
+	if w := s.waves[st.Number]; w != nil {
+		w.shown = statusRunning
+		if st.Completed {
+			w.shown = statusCompleted
+		}
+	}
+}
+
+// onMachine returns the newest runner of a machine, or nil.
+func (s *State) onMachine(id machine.ID) *node {
+	var best *node
+	for _, n := range s.nodes {
+		if n.Machine == string(id) && (best == nil || n.Life > best.Life) {
+			best = n
+		}
+	}
+	return best
+}
+
+// planWaves drains machines of the waves and orders their upkeep.
+func (s *State) planWaves(now clock.Boot) {
+	for _, n := range s.nodes {
+		n.cordoned = false
+	}
+	numbers := make([]int, 0, len(s.waves))
+	for n, w := range s.waves {
+		if !w.completed {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		s.planWave(s.waves[n], now)
+	}
+}
+
+func (s *State) planWave(w *wave, now clock.Boot) {
+	active, left := 0, 0
+	for _, u := range w.upkeeps {
+		if n := s.onMachine(u.id); n != nil && u.phase != waiting && u.phase != back {
+			n.cordoned = true
+		}
+		s.advance(u, now)
+		if u.phase != waiting && u.phase != back {
+			active++
+		}
+		if u.phase != back {
+			left++
+		}
+	}
+	if left == 0 {
+		w.completed = true
+		s.changed = true
+		s.Logger.Log("msg", "wave is completed", "wave", w.Number, "left", w.due.Sub(now))
+		return
+	}
+	for ; active < w.Cap; active++ {
+		u := s.nextUpkeep(w, now)
+		if u == nil {
+			return
+		}
+		u.phase, u.since = draining, now
+		if n := s.onMachine(u.id); n != nil {
+			n.cordoned = true
+			s.Logger.Log("msg", "machine is drained", "machine", u.id, "wave", w.Number, "runner", n.ID, "service", n.Service,
+				"runs", len(n.runs), "active", active, "left", w.due.Sub(now))
+		}
+	}
+}
+
+// nextUpkeep chooses the machine whose absence costs least now, or nil.
+func (s *State) nextUpkeep(w *wave, now clock.Boot) *upkeep {
+	taken, all := make(map[string]int), make(map[string]int)
+	for _, n := range s.nodes {
+		all[n.Service]++
+		if n.cordoned || !n.contacted || n.silent {
+			taken[n.Service]++
+		}
+	}
+	var best *upkeep
+	var bestCost [2]int
+	for _, u := range w.upkeeps {
+		if u.phase != waiting || u.after.After(now) {
+			continue
+		}
+		cost := [2]int{}
+		if n := s.onMachine(u.id); n != nil {
+			if taken[n.Service]*serviceShare >= all[n.Service] && !s.pressed(w, now) {
+				continue
+			}
+			for _, r := range n.runs {
+				if r.task.step.spec.Lasting {
+					cost[0]++
+				}
+			}
+			cost[1] = n.used.CPU
+			cost[0] = cost[0] * 4000 // a lasting task costs a restart elsewhere
+			cost[0] += cost[1]
+		}
+		if best == nil || slices.Compare(cost[:], bestCost[:]) < 0 {
+			best, bestCost = u, cost
+		}
+	}
+	return best
+}
+
+// pressed tells whether a wave must take machines at any cost to be in time.
+func (s *State) pressed(w *wave, now clock.Boot) bool {
+	left := 0
+	for _, u := range w.upkeeps {
+		if u.phase == waiting {
+			left++
+		}
+	}
+	rounds := (left + w.Cap - 1) / w.Cap
+	return w.due.Sub(now) < time.Duration(rounds+1)*(drainTime+s.Limits.Upkeep)
+}
+
+// advance moves one machine on.
+func (s *State) advance(u *upkeep, now clock.Boot) {
+	n := s.onMachine(u.id)
+	switch u.phase {
+	case waiting, back:
+	case draining:
+		if n != nil {
+			s.evacuate(n, now)
+			if len(n.runs) > 0 && !n.silent {
+				if now.Sub(u.since) > drainTime && s.pressed(u.wave, now) {
+					s.stopBatch(n, now)
+				}
+				return
+			}
+			u.runner, u.life = n.ID, n.Life
+		}
+		s.orderUpkeep(u, now)
+	case ordered:
+		if !u.sent && !u.after.After(now) {
+			s.orderUpkeep(u, now)
+		}
+	case down:
+		if n != nil && n.Life > u.life {
+			u.phase = back
+			s.Logger.Log("msg", "machine is back", "machine", u.id, "wave", u.wave.Number, "runner", n.ID, "took", now.Sub(u.since))
+		} else if u.runner == "" && now.Sub(u.since) > s.Limits.Upkeep+offTime {
+			u.phase = back
+		} else if now.Sub(u.since) > s.Limits.Upkeep+backTime {
+			u.phase = back
+			s.Logger.Log("msg", "machine has not come back", "machine", u.id, "wave", u.wave.Number)
+		}
+	}
+}
+
+// orderUpkeep orders the upkeep once the store holds the intent.
+func (s *State) orderUpkeep(u *upkeep, now clock.Boot) {
+	if !s.intend(u.id, now) {
+		return
+	}
+	u.phase, u.sent = ordered, true
+	s.orders = append(s.orders, Order{Kind: UpkeepMachine, Machine: u.id, Wave: u.wave.Number})
+}
+
+// stopBatch stops the runs that do not last.
+func (s *State) stopBatch(n *node, now clock.Boot) {
+	for _, r := range runsOf(n) {
+		if !r.task.step.spec.Lasting {
+			s.stop(r, "its machine is due for upkeep", now)
+		}
+	}
+}
+
+// evacuate stops lasting tasks on a runner, as many as their steps can miss.
+func (s *State) evacuate(n *node, now clock.Boot) {
+	for _, r := range runsOf(n) {
+		if r.task.step.spec.Lasting && r.phase != stopping && s.mayMiss(r.task) && s.placeable(r.task, now) {
+			s.stop(r, "its runner leaves", now)
+		}
+	}
+}
+
+// placeable tells whether a task could run on a runner that stays.
+func (s *State) placeable(t *task, now clock.Boot) bool {
+	svc := s.service(t.work)
+	for _, n := range s.nodes {
+		if n.Service == svc && s.usable(n, now) && s.allowed(n, t, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayMiss tells whether the task of a lasting step may be ended: at least one
+// fewer than the allowance of its step is away.
+func (s *State) mayMiss(t *task) bool {
+	away := 0
+	for _, x := range t.step.tasks {
+		if x != t && !x.atWork() {
+			away++
+		}
+	}
+	return away < max(t.step.spec.MayMiss, 1)
+}
+
+// atWork tells whether a lasting task serves: it runs, has started up, and its
+// runner answers.
+func (t *task) atWork() bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool {
+		return r.phase == running && r.percent >= 100 && !r.node.silent
+	})
+}
+
+// Intent is that a term may order a machine. It is stored before the order, so
+// that a later term knows for which machines it must wait.
+type Intent struct {
+	Term runner.Term `cbor:"1,keyasint"`
+	Wave int         `cbor:"2,keyasint,omitempty"` // last wave that is done with the machine
+}
+
+// Intents returns a copy of all intents, and whether the store lacks any.
+func (s *State) Intents() (map[machine.ID]Intent, bool) {
+	return maps.Clone(s.intents), !maps.Equal(s.intents, s.intended)
+}
+
+// Intended takes that the store holds intents.
+func (s *State) Intended(m map[machine.ID]Intent) {
+	s.intended = m
+	for id, in := range m {
+		if _, ok := s.intents[id]; !ok {
+			s.intents[id] = in
+		}
+	}
+}
+
+// intend tells whether a machine may be ordered now: the store holds the intent
+// of this term, and a holder before has surely stopped.
+func (s *State) intend(id machine.ID, now clock.Boot) bool {
+	in, ok := s.intents[id]
+	if ok && in.Term == s.Term {
+		return s.intended[id].Term == s.Term
+	}
+	if ok && now.Sub(s.began) < s.Limits.Turn {
+		return false
+	}
+	s.intents[id] = Intent{Term: s.Term, Wave: in.Wave}
+	s.changed = true
+	return false
+}
+
+// MachineAnswered takes the answer to an order to a machine.
+func (s *State) MachineAnswered(o *Order, v machine.Verdict, answered bool, now clock.Boot) {
+	s.Logger.Log("msg", "machine is ordered", "kind", o.Kind, "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "answered", answered, "verdict", v)
+	w := s.waves[o.Wave]
+	if w == nil {
+		return
+	}
+	i := slices.IndexFunc(w.upkeeps, func(u *upkeep) bool { return u.id == o.Machine })
+	if i < 0 || w.upkeeps[i].phase != ordered {
+		return
+	}
+	u := w.upkeeps[i]
+	u.sent = false
+	if !answered {
+		return
+	}
+	switch v {
+	case machine.Accepted:
+		u.phase, u.since = down, now
+		s.intents[u.id] = Intent{Term: s.Term, Wave: o.Wave}
+		s.changed = true
+		if n := s.onMachine(u.id); n != nil && n.ID == u.runner {
+			s.endLife(n, "its machine is in upkeep", now)
+		}
+	case machine.Unknown, machine.OtherWave:
+		u.phase = back
+	case machine.Busy, machine.Refused, machine.Fenced:
+		u.after = now.Add(machineRetry)
+		if v == machine.Busy && cmp.Compare(now, u.wave.due.Add(backTime)) > 0 {
+			u.phase = back
+		}
+	}
+}
