sched: confirm the term before a lapse counts, resend unanswered orders

A lapse now counts only after the store has confirmed the term at a later instant; orders are sent again once the runner answers; the stored intents name the wave, so that a new leader counts those machines as down.

--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -186,6 +186,9 @@
 	if err := x.storeRoster(ctx); err != nil {
 		return 0, err
 	}
+	if err := x.confirm(ctx); err != nil {
+		return 0, err
+	}
 	if err := x.expire(ctx); err != nil {
 		return 0, err
 	}
@@ -225,6 +228,30 @@
 	return len(rows), nil
 }
 
+// confirm asks the store whether this term still leads, if a decision waits
+// for that.
+func (x *term) confirm(ctx context.Context) error {
+	x.mu.Lock()
+	now := clock.Now()
+	wanted := x.state.Unconfirmed(now)
+	x.mu.Unlock()
+	if !wanted {
+		return nil
+	}
+	it, err := x.cfg.Store.Get(ctx, job.LeaderKey)
+	switch {
+	case errors.Is(err, kv.ErrNotFound), err == nil && runner.Term(it.Rev) != x.id:
+		return errDeposed
+	case err != nil:
+		return errors.Wrap(err, "confirm the term")
+	}
+	x.mu.Lock()
+	x.state.Confirm(now)
+	x.mu.Unlock()
+	x.wake()
+	return nil
+}
+
 // resolve takes the revisions that a refused transaction has met: an earlier
 // one without an answer has taken effect. The rows are stored again.
 func (x *term) resolve(c *kv.Conflict, rows []sched.Row) error {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -39,7 +39,7 @@
 // start records a run and orders it.
 func (s *State) start(t *task, n *node, attempt int, now clock.Boot, why string) *run {
 	r := &run{
-		task: t, attempt: attempt, node: n, demand: t.step.spec.Demand(), ordered: now, pace: 100,
+		task: t, attempt: attempt, node: n, demand: t.step.spec.Demand(), ordered: now, pace: 100, sending: true,
 	}
 	n.add(r)
 	t.attempt = max(t.attempt, attempt)
@@ -60,13 +60,37 @@
 	if r.phase == stopping {
 		return
 	}
-	r.phase, r.why = stopping, why
+	r.phase, r.why, r.sending = stopping, why, true
 	s.orders = append(s.orders, Order{
 		Kind: StopRun, To: runner.Target{ID: r.node.ID, Addr: r.node.Addr}, Task: r.task.name, Attempt: r.attempt,
 	})
 	s.Logger.Log("msg", "run is stopped", "task", r.task.name, "attempt", r.attempt, "runner", r.node.ID, "why", why)
 }
 
+// resend orders again what a runner has not answered, once it answers looks.
+func (s *State) resend() {
+	for _, n := range s.nodes {
+		if n.silent || !n.contacted {
+			continue
+		}
+		for _, r := range n.runs {
+			o := Order{To: runner.Target{ID: n.ID, Addr: n.Addr}, Task: r.task.name, Attempt: r.attempt}
+			switch {
+			case r.sending:
+				continue
+			case r.phase == starting:
+				o.Kind = StartRun
+			case r.phase == stopping && r.stopped == 0:
+				o.Kind = StopRun
+			default:
+				continue
+			}
+			r.sending = true
+			s.orders = append(s.orders, o)
+		}
+	}
+}
+
 // Orders takes the orders that are due.
 func (s *State) Orders() []Order {
 	o := s.orders
@@ -91,6 +115,14 @@
 // content, with the lease as it is now.
 func (s *State) Prepare(o *Order, now clock.Boot) (runner.Start, bool) {
 	r := s.find(o)
+	st, wanted := s.prepare(o, r, now)
+	if r != nil && !wanted && (o.Kind == StopRun) == (r.phase == stopping) {
+		r.sending = false
+	}
+	return st, wanted
+}
+
+func (s *State) prepare(o *Order, r *run, now clock.Boot) (runner.Start, bool) {
 	switch o.Kind {
 	case StopRun:
 		// A stop of a run that the state does not know is sent once.
@@ -119,6 +151,14 @@
 // whether the order must be sent again.
 func (s *State) Answered(o *Order, reply runner.Reply, answered bool, sent bool, now clock.Boot) bool {
 	r := s.find(o)
+	again := s.takeAnswer(o, r, reply, answered, sent, now)
+	if r != nil && !again && (o.Kind == StopRun) == (r.phase == stopping) {
+		r.sending = false
+	}
+	return again
+}
+
+func (s *State) takeAnswer(o *Order, r *run, reply runner.Reply, answered bool, sent bool, now clock.Boot) bool {
 	if r == nil {
 		return o.Kind == StopRun && !answered && s.nodes[o.To.ID] != nil && !s.nodes[o.To.ID].silent
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -19,6 +19,7 @@
 	}
 	s.expire(now)
 	s.settle(now)
+	s.resend()
 	s.release(wall)
 	s.planWaves(now)
 	pools := make(map[string][]*node)
@@ -42,10 +43,37 @@
 // second run would then have been for nothing.
 const returnGrace = 2 * time.Second
 
-// expire gives up the runs of runners whose lease has surely lapsed.
+// Confirm takes that this term still led at an instant: a call to the store
+// that was sent then has shown so.
+func (s *State) Confirm(at clock.Boot) { s.confirmed = max(s.confirmed, at) }
+
+// Unconfirmed tells whether a decision waits for Confirm.
+func (s *State) Unconfirmed(now clock.Boot) bool {
+	for _, n := range s.nodes {
+		if n.lapsedAt != 0 && len(n.runs) > 0 {
+			return true
+		}
+	}
+	for _, in := range s.inherited {
+		if !in.until.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire gives up the runs of runners whose lease has surely lapsed. A leader
+// that does not know of its successor must not do so: the successor may reach
+// the runner and extend the lease. It therefore waits until the store has
+// confirmed, after the lapse, that this term still leads.
 func (s *State) expire(now clock.Boot) {
 	for _, n := range s.nodes {
-		if n.contacted && n.silent && len(n.runs) > 0 && n.lapsed(now) {
+		if !n.contacted || !n.silent || len(n.runs) == 0 || !n.lapsed(now) {
+			n.lapsedAt = 0
+		} else if n.lapsedAt == 0 {
+			n.lapsedAt = now
+		}
+		if n.lapsedAt != 0 && s.confirmed.After(n.lapsedAt) {
 			for _, r := range runsOf(n) {
 				s.lost(r, "lease has lapsed", now)
 				if !r.task.step.spec.Lasting {
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -75,7 +75,7 @@
 		}
 	}
 	for id, in := range s.inherited {
-		if s.nodes[id] == nil && in.until.After(now) {
+		if s.nodes[id] == nil {
 			rows = append(rows, in.row(id, now))
 		}
 	}
@@ -97,7 +97,7 @@
 
 func (s *State) rosterRow(n *node, now clock.Boot, closing bool) (RosterRow, bool) {
 	if in := s.inherited[n.ID]; in != nil && !n.contacted {
-		return in.row(n.ID, now), in.until.After(now)
+		return in.row(n.ID, now), true
 	}
 	if n.over || !n.contacted {
 		return RosterRow{}, false
@@ -140,7 +140,7 @@
 	}
 	s.reached, s.possible = true, make(map[job.Task]bool)
 	for id, in := range s.inherited {
-		if !in.until.After(now) {
+		if s.confirmed.After(in.until) {
 			s.Logger.Log("msg", "runs of earlier terms have lapsed", "runner", id, "closed", in.closed, "tasks", len(in.tasks))
 			delete(s.inherited, id)
 			s.changed = true
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -36,10 +36,12 @@
 	Logger log.Logger
 
 	began clock.Boot
-	cfg   *job.Config
-	jobs  map[job.ID]*work
-	open  map[string][]*work // by service, in order of acceptance
-	nodes map[runner.ID]*node
+	// confirmed is when this term last surely led.
+	confirmed clock.Boot
+	cfg       *job.Config
+	jobs      map[job.ID]*work
+	open      map[string][]*work // by service, in order of acceptance
+	nodes     map[runner.ID]*node
 	// inherited is what earlier terms may have left on runners that this term
 	// has not reached.
 	inherited map[runner.ID]*inherited
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -69,16 +69,28 @@
 		x.shown = statusCompleted
 	}
 	for _, id := range w.Machines {
-		u := &upkeep{id: id, wave: x}
-		if s.intents[id].Wave >= w.Number {
-			u.phase = back
-		}
-		x.upkeeps = append(x.upkeeps, u)
+		x.upkeeps = append(x.upkeeps, s.newUpkeep(x, id, now))
 	}
 	s.waves[w.Number] = x
 	s.Logger.Log("msg", "wave is asked for", "wave", w.Number, "machines", len(w.Machines), "cap", w.Cap, "within", w.Within, "completed", completed)
 }
 
+// newUpkeep returns a machine of a wave as earlier terms have left it: it may
+// be down, or an order may be on its way.
+func (s *State) newUpkeep(w *wave, id machine.ID, now clock.Boot) *upkeep {
+	u := &upkeep{id: id, wave: w}
+	switch in, ok := s.intents[id]; {
+	case ok && in.Wave >= w.Number:
+		u.phase, u.since = down, now
+	case ok && in.Want == w.Number:
+		u.phase, u.since = ordered, now
+		if n := s.onMachine(id); n != nil {
+			u.runner, u.life = n.ID, n.Life
+		}
+	}
+	return u
+}
+
 const (
 	statusRunning   = "running"
 	statusCompleted = "completed"
@@ -233,7 +245,7 @@
 	case draining:
 		if n != nil {
 			s.evacuate(n, now)
-			if len(n.runs) > 0 && !n.silent {
+			if len(n.runs) > 0 {
 				if now.Sub(u.since) > drainTime && s.pressed(u.wave, now) {
 					s.stopBatch(n, now)
 				}
@@ -261,7 +273,10 @@
 
 // orderUpkeep orders the upkeep once the store holds the intent.
 func (s *State) orderUpkeep(u *upkeep, now clock.Boot) {
-	if !s.intend(u.id, now) {
+	if !s.intend(u.id, u.wave.Number, now) {
+		return
+	}
+	if u.sent {
 		return
 	}
 	u.phase, u.sent = ordered, true
@@ -321,7 +336,8 @@
 // that a later term knows for which machines it must wait.
 type Intent struct {
 	Term runner.Term `cbor:"1,keyasint"`
-	Wave int         `cbor:"2,keyasint,omitempty"` // last wave that is done with the machine
+	Wave int         `cbor:"2,keyasint,omitempty"` // last wave whose order was accepted
+	Want int         `cbor:"3,keyasint,omitempty"` // wave of the order, if it is one for upkeep
 }
 
 // Intents returns a copy of all intents, and whether the store lacks any.
@@ -341,15 +357,15 @@
 
 // intend tells whether a machine may be ordered now: the store holds the intent
 // of this term, and a holder before has surely stopped.
-func (s *State) intend(id machine.ID, now clock.Boot) bool {
+func (s *State) intend(id machine.ID, wave int, now clock.Boot) bool {
 	in, ok := s.intents[id]
-	if ok && in.Term == s.Term {
-		return s.intended[id].Term == s.Term
+	if ok && in.Term == s.Term && in.Want == wave {
+		return s.intended[id] == in
 	}
-	if ok && now.Sub(s.began) < s.Limits.Turn {
+	if ok && in.Term != s.Term && now.Sub(s.began) < s.Limits.Turn {
 		return false
 	}
-	s.intents[id] = Intent{Term: s.Term, Wave: in.Wave}
+	s.intents[id] = Intent{Term: s.Term, Wave: in.Wave, Want: wave}
 	s.changed = true
 	return false
 }
@@ -373,7 +389,7 @@
 	switch v {
 	case machine.Accepted:
 		u.phase, u.since = down, now
-		s.intents[u.id] = Intent{Term: s.Term, Wave: o.Wave}
+		s.intents[u.id] = Intent{Term: s.Term, Wave: o.Wave, Want: o.Wave}
 		s.changed = true
 		if n := s.onMachine(u.id); n != nil && n.ID == u.runner {
 			s.endLife(n, "its machine is in upkeep", now)
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -36,7 +36,8 @@
 	why       string // reason of the stop
 	// unsure tells that an order to start had no answer, so that it may yet be
 	// carried out even if a repeated one is refused.
-	unsure bool
+	unsure  bool
+	sending bool // an order about the run is being sent
 }
 
 // task is one task of an occurrence.
