sched: move machines between pools with the demand

Cause: each queue in turn asks about five times its mean, twice its pool's room, while the other pools stand idle; the worst windows and the largest jobs paid for that.

Machines without runs now move to the pool that lacks most, from pools that have more than they need or from the pool that is off; five stay in each pool. Tasks that end are packed on few runners, lasting tasks spread over racks.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -303,6 +303,7 @@
 		x.spawn(func() { x.watchInput(ctx, inputRev) })
 		x.spawn(func() { x.watchServers(ctx, serversRev) })
 		x.spawn(func() { x.watchWaves(ctx) })
+		x.spawn(func() { x.listMachines(ctx) })
 		x.spawn(func() { x.flushAlways(ctx) })
 		x.spawn(func() { x.plan(ctx) })
 	}
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -177,6 +177,30 @@
 	return clock.Now().Sub(clock.Boot(x.renewed.Load())) < x.ttl-leaseMargin
 }
 
+// listPeriod is between two listings of the machines. Moves are known from the
+// runners; the list shows machines that are off.
+const listPeriod = 2 * time.Second
+
+// listMachines follows the list of machines.
+func (x *term) listMachines(ctx context.Context) {
+	if x.cfg.Machines == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		ms, err := x.cfg.Machines.List(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				x.logger.Log("msg", "machines cannot be listed", "err", err)
+			}
+		} else {
+			x.mu.Lock()
+			x.state.SetMachines(ms, clock.Now())
+			x.mu.Unlock()
+		}
+		pause(ctx, listPeriod)
+	}
+}
+
 // orderMachine sends one order to a machine.
 func (x *term) orderMachine(ctx context.Context, o sched.Order) {
 	h := machine.Holder{Name: x.cfg.Self.Name, Term: x.id}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -22,6 +22,7 @@
 	s.resend()
 	s.release(wall)
 	s.planWaves(now)
+	s.planPools(now)
 	pools := make(map[string][]*node)
 	for _, n := range s.nodes {
 		if s.usable(n, now) {
@@ -277,12 +278,44 @@
 		sc[1] = 1
 	}
 	if sp.Lasting {
-		sc[2] = -peers(n, t)
+		// Few runners hold lasting tasks, so that the others can move between
+		// pools, but the tasks of one step are spread over racks.
+		sc[1] = -rackPeers(n, t)
+		if n.lasting() > 0 {
+			sc[2] = 1
+		}
+		sc[3] = n.free().CPU
+		return sc
 	}
-	sc[3] = n.free().CPU
+	// Tasks that end are packed, so that idle runners stay idle.
+	sc[3] = -n.free().CPU
 	return sc
 }
 
+// lasting counts the lasting tasks on a runner.
+func (n *node) lasting() int {
+	c := 0
+	for _, r := range n.runs {
+		if r.task.step.spec.Lasting {
+			c++
+		}
+	}
+	return c
+}
+
+// rackPeers counts the runs of the same step in a runner's rack.
+func rackPeers(n *node, t *task) int {
+	c := 0
+	for _, x := range t.step.tasks {
+		for _, r := range x.runs {
+			if r.node.Rack == n.Rack {
+				c++
+			}
+		}
+	}
+	return c
+}
+
 // placeGang starts all tasks of a step at once, or none.
 func (s *State) placeGang(ns []*node, st *step, now clock.Boot) {
 	attempt, saved := 0, ""
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -52,6 +52,9 @@
 	changed   bool // a flush is due
 	closed    []*work
 	waves     map[int]*wave
+	hosts     map[machine.ID]*host
+	listedAt  clock.Boot         // when the machines were last listed
+	arrivals  map[string]arrival // by pool
 	intents   map[machine.ID]Intent
 	// intended is what the store holds of intents.
 	intended map[machine.ID]Intent
@@ -63,7 +66,7 @@
 		Term: t, Limits: l, Logger: logger, began: now,
 		jobs: make(map[job.ID]*work), open: make(map[string][]*work),
 		nodes: make(map[runner.ID]*node), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), intents: make(map[machine.ID]Intent),
+		waves: make(map[int]*wave), hosts: make(map[machine.ID]*host), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent),
 	}
 }
 
@@ -143,6 +146,7 @@
 	}
 	svc := s.service(w)
 	s.open[svc] = append(s.open[svc], w)
+	s.arrived(w, now)
 	s.Logger.Log("msg", "job is open", "job", j.ID, "queue", j.Queue, "service", svc, "rev", int64(created), "begun", w.begun)
 	s.conclude(w, now)
 }
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -201,7 +201,7 @@
 	var best *upkeep
 	var bestCost [2]int
 	for _, u := range w.upkeeps {
-		if u.phase != waiting || u.after.After(now) {
+		if u.phase != waiting || u.after.After(now) || (s.hosts[u.id] != nil && s.hosts[u.id].to != "") {
 			continue
 		}
 		cost := [2]int{}
@@ -373,6 +373,10 @@
 // MachineAnswered takes the answer to an order to a machine.
 func (s *State) MachineAnswered(o *Order, v machine.Verdict, answered bool, now clock.Boot) {
 	s.Logger.Log("msg", "machine is ordered", "kind", o.Kind, "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "answered", answered, "verdict", v)
+	if o.Kind == MoveMachine {
+		s.moveAnswered(o, v, answered, now)
+		return
+	}
 	w := s.waves[o.Wave]
 	if w == nil {
 		return
