--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -74,7 +74,7 @@
 		Operators: d.operators.Config,
 		Limits: sched.Limits{
 			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
-			Upkeep: s.Bounds.Upkeep, Turn: s.Bounds.Lease,
+			Upkeep: s.Bounds.Upkeep, Move: s.Bounds.Move, Turn: s.Bounds.Lease,
 		},
 		Logger: log.With(logger, "part", "lead"),
 	})
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -20,7 +20,7 @@
 	watchWait = time.Second
 	// watchGap follows a watch that returned events, so that one call brings
 	// the changes of several milliseconds.
-	watchGap = 8 * time.Millisecond
+	watchGap = 20 * time.Millisecond
 )
 
 // load reads the state of the term from the store. It repeats until it
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -22,9 +22,9 @@
 	// planPeriod is the longest time between two plans.
 	planPeriod = 100 * time.Millisecond
 	// flushGap is the least time between two writes of progress.
-	flushGap = 20 * time.Millisecond
+	flushGap = 30 * time.Millisecond
 	// lookGap follows each look, so that one look brings several ends.
-	lookGap = 15 * time.Millisecond
+	lookGap = 30 * time.Millisecond
 	// silentGap follows a look that failed.
 	silentGap = 200 * time.Millisecond
 	// orderPause follows an order without an answer.
--- a/internal/sched/node.go
+++ b/internal/sched/node.go
@@ -31,6 +31,7 @@
 	runs      map[job.Task]*run
 	used      job.Room
 	blocked   clock.Boot // no starts before this
+	idle      clock.Boot // since when it runs nothing
 	lapsedAt  clock.Boot // when its lease was first seen to have lapsed
 	cordoned  bool       // leaves for planned work: no new starts
 	health    health
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -25,6 +25,9 @@
 	s.planPools(now)
 	pools := make(map[string][]*node)
 	for _, n := range s.nodes {
+		if len(n.runs) > 0 || n.idle == 0 {
+			n.idle = now
+		}
 		if s.usable(n, now) {
 			pools[n.Service] = append(pools[n.Service], n)
 		}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -20,6 +20,11 @@
 	// baseMachines stay in each pool whatever its demand, for the first seconds
 	// of a surge and for the spread of lasting tasks.
 	baseMachines = 5
+	// reserveMachines stay on beyond what all pools need.
+	reserveMachines = 6
+	// idleTime is how long a machine is idle before it is turned off. Turning
+	// it off and on again costs as much as some seconds of it.
+	idleTime = 2500 * time.Millisecond
 	// listAge is how old the list of machines may be for a move.
 	listAge = 5 * time.Second
 	// movePause keeps a machine from being moved again at once.
@@ -120,6 +125,46 @@
 			d.machines++
 		}
 	}
+	s.shrink(ds, now)
+}
+
+// shrink turns machines off that no pool has needed for a while, but for a
+// reserve that can follow the next surge.
+func (s *State) shrink(ds []*demand, now clock.Boot) {
+	off := s.standby()
+	if off == "" {
+		return
+	}
+	surplus := 0
+	for _, d := range ds {
+		surplus += max(d.machines-d.target, 0)
+	}
+	for i := len(ds) - 1; i >= 0; i-- {
+		d := ds[i]
+		for _, n := range d.idle {
+			h := s.hosts[machine.ID(n.Machine)]
+			if surplus <= reserveMachines || d.machines <= d.target {
+				break
+			}
+			if h == nil || n.cordoned || now.Sub(n.idle) < idleTime || now.Sub(h.since) < movePause || !s.movable(h, off, now) {
+				continue
+			}
+			s.move(h, off, now)
+			d.machines--
+			surplus--
+		}
+	}
+}
+
+// standby returns the pool whose machines are off, or an empty name.
+func (s *State) standby() string {
+	name := ""
+	for _, svc := range s.cfg.Services {
+		if svc.Standby && (name == "" || svc.Name < name) {
+			name = svc.Name
+		}
+	}
+	return name
 }
 
 // followMove orders a planned move, and takes note of its end.
@@ -136,7 +181,9 @@
 	}
 	switch {
 	case h.sent:
-		if n != nil && n.Service == h.to && n.Life > h.life {
+		if svc := s.cfg.Services[h.to]; svc != nil && svc.Standby && now.Sub(h.since) > s.Limits.Move+offTime {
+			h.to, h.sent, h.since = "", false, now
+		} else if n != nil && n.Service == h.to && n.Life > h.life {
 			s.Logger.Log("msg", "machine has moved", "machine", h.ID, "pool", h.to, "runner", n.ID, "took", now.Sub(h.since))
 			h.to, h.sent, h.since = "", false, now
 		} else if now.Sub(h.since) > moveTime {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -23,6 +23,7 @@
 	Early    time.Duration // how much before its time a task may start
 	Gang     time.Duration
 	Upkeep   time.Duration // a machine in upkeep is back after this
+	Move     time.Duration // a moved machine is back after this
 	// Turn is how long after the begin of a term a machine must not be ordered
 	// that an earlier term may have ordered.
 	Turn time.Duration
