sched: release machines that were not ordered lately; lead: shorter lease

Intents older than the turn time are released, and the lease is 1.3 s with attempts of 0.5 s. Ruled out: longer waits at runners (they had answered).

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -22,9 +22,12 @@
 const (
 	// leaseTime of the leader's key. A crashed leader is missed for this long;
 	// shorter leases would be lost to a slow store.
-	leaseTime = 2 * time.Second
-	// renewPeriod leaves four attempts within a lease.
-	renewPeriod = 400 * time.Millisecond
+	leaseTime = 1300 * time.Millisecond
+	// renewPeriod leaves several attempts within a lease.
+	renewPeriod = 300 * time.Millisecond
+	// renewTime ends an attempt, so that another one over a new connection fits
+	// into the lease. A slow store takes some hundred milliseconds.
+	renewTime = 500 * time.Millisecond
 	// StopAfter is how long a leader orders runners without having renewed its
 	// lease.
 	StopAfter = 8 * time.Second
@@ -344,7 +347,9 @@
 func (x *term) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := clock.Now()
-		err := x.cfg.Store.Renew(ctx, x.lease)
+		rctx, cancel := context.WithTimeout(ctx, renewTime)
+		err := x.cfg.Store.Renew(rctx, x.lease)
+		cancel()
 		switch {
 		case err == nil:
 			x.renewed.Store(int64(sent))
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -143,7 +143,7 @@
 // storeIntents stores which machines this term may order.
 func (x *term) storeIntents(ctx context.Context) error {
 	x.mu.Lock()
-	m, fresh := x.state.Intents()
+	m, fresh := x.state.Intents(clock.Now())
 	x.mu.Unlock()
 	if !fresh {
 		return nil
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -55,7 +55,7 @@
 		h := s.hosts[m.ID]
 		if h == nil {
 			h = &host{unfit: make(map[string]bool)}
-			if in, ok := s.intents[m.ID]; ok && in.Term != s.Term {
+			if in, ok := s.intents[m.ID]; ok && in.Term != 0 && in.Term != s.Term {
 				h.after = s.began.Add(s.Limits.Turn)
 			}
 			s.hosts[m.ID] = h
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -57,6 +57,8 @@
 	listedAt  clock.Boot         // when the machines were last listed
 	arrivals  map[string]arrival // by pool
 	intents   map[machine.ID]Intent
+	// ordered is when the answer to the last order to a machine came.
+	ordered map[machine.ID]clock.Boot
 	// intended is what the store holds of intents.
 	intended map[machine.ID]Intent
 }
@@ -67,7 +69,7 @@
 		Term: t, Limits: l, Logger: logger, began: now,
 		jobs: make(map[job.ID]*work), open: make(map[string][]*work),
 		nodes: make(map[runner.ID]*node), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), hosts: make(map[machine.ID]*host), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent),
+		waves: make(map[int]*wave), hosts: make(map[machine.ID]*host), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), ordered: make(map[machine.ID]clock.Boot),
 	}
 }
 
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -82,7 +82,7 @@
 	switch in, ok := s.intents[id]; {
 	case ok && in.Wave >= w.Number:
 		u.phase, u.since = down, now
-	case ok && in.Want == w.Number:
+	case ok && in.Term != 0 && in.Want == w.Number:
 		u.phase, u.since = ordered, now
 		if n := s.onMachine(id); n != nil {
 			u.runner, u.life = n.ID, n.Life
@@ -341,7 +341,15 @@
 }
 
 // Intents returns a copy of all intents, and whether the store lacks any.
-func (s *State) Intents() (map[machine.ID]Intent, bool) {
+// Machines that were not ordered for a while are released, so that a later term
+// need not wait for them.
+func (s *State) Intents(now clock.Boot) (map[machine.ID]Intent, bool) {
+	for id, in := range s.intents {
+		if in.Term == s.Term && s.ordered[id] != 0 && now.Sub(s.ordered[id]) > s.Limits.Turn {
+			s.intents[id] = Intent{Wave: in.Wave}
+			delete(s.ordered, id)
+		}
+	}
 	return maps.Clone(s.intents), !maps.Equal(s.intents, s.intended)
 }
 
@@ -362,7 +370,7 @@
 	if ok && in.Term == s.Term && in.Want == wave {
 		return s.intended[id] == in
 	}
-	if ok && in.Term != s.Term && now.Sub(s.began) < s.Limits.Turn {
+	if ok && in.Term != 0 && in.Term != s.Term && now.Sub(s.began) < s.Limits.Turn {
 		return false
 	}
 	s.intents[id] = Intent{Term: s.Term, Wave: in.Wave, Want: wave}
@@ -372,6 +380,7 @@
 
 // MachineAnswered takes the answer to an order to a machine.
 func (s *State) MachineAnswered(o *Order, v machine.Verdict, answered bool, now clock.Boot) {
+	s.ordered[o.Machine] = now
 	s.Logger.Log("msg", "machine is ordered", "kind", o.Kind, "machine", o.Machine, "wave", o.Wave, "pool", o.Pool, "answered", answered, "verdict", v)
 	if o.Kind == MoveMachine {
 		s.moveAnswered(o, v, answered, now)
