sched: share machines by the work that can meet its objective

Work that can still meet its objective goes first, in proportion where there are not machines enough, and machines that run only what ends soon are drained from pools that need them for late work. Ruled out: the change of the leader (none in that window).

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -139,7 +139,7 @@
 			b.cores = cores
 			if q != nil {
 				b.priority = q.Priority
-				b.late = now.Sub(w.arrived)+chain > q.Objective(w.chain)
+				b.late = s.late(w, chain, now)
 			}
 			bs = append(bs, b)
 		}
@@ -155,6 +155,13 @@
 	return bs
 }
 
+// late tells whether a job with the given chain left can no longer meet its
+// objective.
+func (s *State) late(w *work, chain time.Duration, now clock.Boot) bool {
+	q := s.queue(w)
+	return q != nil && now.Sub(w.arrived)+chain > q.Objective(w.chain)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -75,8 +75,11 @@
 	pool     string
 	machines int // usable or on their way here
 	size     int // processor of the largest machine
-	target   int // machines that the pool should have
-	idle     []*node
+	// timely is how many machines the pool should have for the work that can
+	// still meet its objective, target with the late work.
+	timely, target int
+	idle           []*node
+	busy           []*node // without lasting tasks
 }
 
 // arrived adds the work of a new job to its pool's arrivals.
@@ -115,9 +118,20 @@
 		s.followMove(h, now)
 	}
 	ds := s.demands(now)
+	s.share(ds)
+	for _, d := range ds {
+		for d.machines < d.timely {
+			h := s.donor(ds, d, true, now)
+			if h == nil {
+				break
+			}
+			s.move(h, d.pool, now)
+			d.machines++
+		}
+	}
 	for _, d := range ds {
 		for d.machines < d.target {
-			h := s.donor(ds, d.pool, now)
+			h := s.donor(ds, d, false, now)
 			if h == nil {
 				break
 			}
@@ -128,6 +142,27 @@
 	s.shrink(ds, now)
 }
 
+// share lowers what pools should have in time if there are not machines enough
+// for all, each in proportion to what it needs beyond the base.
+func (s *State) share(ds []*demand) {
+	total, need := 0, 0
+	for _, h := range s.hosts {
+		if h.State != machine.Down {
+			total++
+		}
+	}
+	for _, d := range ds {
+		total -= baseMachines
+		need += max(d.timely-baseMachines, 0)
+	}
+	if need <= total || total <= 0 {
+		return
+	}
+	for _, d := range ds {
+		d.timely = min(d.timely, baseMachines) + max(d.timely-baseMachines, 0)*total/need
+	}
+}
+
 // shrink turns machines off that no pool has needed for a while, but for a
 // reserve that can follow the next surge.
 func (s *State) shrink(ds []*demand, now clock.Boot) {
@@ -248,8 +283,11 @@
 		}
 		d.machines++
 		d.size = max(d.size, n.Room.CPU)
-		if len(n.runs) == 0 {
+		switch {
+		case len(n.runs) == 0:
 			d.idle = append(d.idle, n)
+		case n.lasting() == 0:
+			d.busy = append(d.busy, n)
 		}
 	}
 	for _, h := range s.hosts {
@@ -260,24 +298,43 @@
 	}
 	ds := make([]*demand, 0, len(byPool))
 	for name, d := range byPool {
-		d.target = baseMachines
+		d.timely, d.target = baseMachines, baseMachines
 		if d.size > 0 {
-			need := float64(s.wanted(name, now)) / fillShare / float64(d.size)
-			d.target = max(d.target, int(math.Ceil(need)))
+			timely, all := s.wanted(name, now)
+			d.timely = max(d.timely, d.count(timely))
+			d.target = max(d.timely, d.count(all))
 		}
+		slices.SortFunc(d.busy, func(a, b *node) int {
+			return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
+		})
 		ds = append(ds, d)
 	}
 	slices.SortFunc(ds, func(a, b *demand) int {
-		return cmp.Or(cmp.Compare(a.machines-a.target, b.machines-b.target), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(a.machines-a.timely, b.machines-b.timely), cmp.Compare(a.pool, b.pool))
 	})
 	return ds
 }
 
-// wanted is the processor that a pool could use now.
-func (s *State) wanted(pool string, now clock.Boot) int {
-	lasting, width, work := 0, 0, 0.0
+// count is how many machines give some processor.
+func (d *demand) count(cpu int) int {
+	return int(math.Ceil(float64(cpu) / fillShare / float64(d.size)))
+}
+
+// wanted is the processor that a pool could use now: for the work that can still
+// meet its objective, and with the late work.
+func (s *State) wanted(pool string, now clock.Boot) (timely, all int) {
+	lasting := 0
+	var width, work [2]float64 // in time, late
 	for _, w := range s.open[pool] {
 		for _, o := range w.occs {
+			chain, cores := o.remaining()
+			k := 0
+			if s.late(w, chain, now) {
+				k = 1
+			}
+			if !w.job.Lasting() {
+				work[k] += cores
+			}
 			for _, st := range o.steps {
 				cpu := st.spec.Demand().CPU
 				switch {
@@ -285,42 +342,65 @@
 				case st.spec.Lasting:
 					lasting += cpu * len(st.tasks)
 				default:
-					width += cpu * (len(st.tasks) - st.done)
+					width[k] += float64(cpu*(len(st.tasks)-st.done)) / 1000
 				}
 			}
-			if !w.job.Lasting() {
-				_, cores := o.remaining()
-				work += cores
-			}
 		}
 	}
 	a := s.arrivals[pool]
-	soon := min(float64(width), work*1000/drainSeconds)
-	return lasting + int(max(soon, a.value(now)*1000))
+	soon := max(min(width[0], work[0]/drainSeconds), a.value(now))
+	late := min(width[1], work[1]/drainSeconds)
+	return lasting + int(soon*1000), lasting + int((soon+late)*1000)
 }
 
 // drainSeconds is in how many seconds the waiting work of a pool should be
 // done; the objectives of short jobs are about two seconds.
 const drainSeconds = 1.0
 
-// donor chooses a machine to move to a pool: one that is off, or an idle one of
-// a pool that has more than it needs.
-func (s *State) donor(ds []*demand, to string, now clock.Boot) *host {
+// donor chooses a machine to move to a pool: an idle one of a pool that has
+// more than it needs, or one that is off. For timely work it may also be one
+// that runs only what will end soon, of a pool that needs it for late work.
+func (s *State) donor(ds []*demand, to *demand, timely bool, now clock.Boot) *host {
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d.pool == to || d.machines <= d.target {
+		if d == to || d.machines <= d.target && !(timely && d.machines > d.timely) {
 			continue
 		}
-		for k, n := range d.idle {
-			h := s.hosts[machine.ID(n.Machine)]
-			if h == nil || !s.movable(h, to, now) || n.cordoned || now.Sub(h.since) < movePause {
-				continue
-			}
-			d.idle = slices.Delete(d.idle, k, k+1)
-			d.machines--
+		if h := s.take(d, &d.idle, to.pool, now); h != nil {
+			return h
+		}
+	}
+	if h := s.off(to.pool, now); h != nil || !timely {
+		return h
+	}
+	for i := len(ds) - 1; i >= 0; i-- {
+		d := ds[i]
+		if d == to || d.machines <= d.timely+1 {
+			continue
+		}
+		if h := s.take(d, &d.busy, to.pool, now); h != nil {
 			return h
 		}
 	}
+	return nil
+}
+
+// take takes a movable machine out of a list of runners of a pool.
+func (s *State) take(d *demand, ns *[]*node, to string, now clock.Boot) *host {
+	for k, n := range *ns {
+		h := s.hosts[machine.ID(n.Machine)]
+		if h == nil || !s.movable(h, to, now) || n.cordoned || now.Sub(h.since) < movePause {
+			continue
+		}
+		*ns = slices.Delete(*ns, k, k+1)
+		d.machines--
+		return h
+	}
+	return nil
+}
+
+// off returns a machine that is off and can join a pool, or nil.
+func (s *State) off(to string, now clock.Boot) *host {
 	var best *host
 	for _, h := range s.hosts {
 		svc := s.cfg.Services[h.Pool]
