--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -81,7 +82,9 @@
 	u := &upkeep{id: id, wave: w}
 	switch in, ok := s.intents[id]; {
 	case ok && in.Wave >= w.Number:
-		u.phase, u.since = down, now
+		// The store may still list the runner that the upkeep has ended, so only
+		// time tells that the machine is back.
+		u.phase, u.since, u.life = down, now, math.MaxInt64
 	case ok && in.Term != 0 && in.Want == w.Number:
 		u.phase, u.since = ordered, now
 		if n := s.onMachine(id); n != nil {
--- /dev/null
+++ b/internal/sched/wave_test.go
@@ -0,0 +1,77 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// upkeeps plans and stores intents until the plan is stable, and returns the
+// orders to machines.
+func (w *world) upkeeps() []Order {
+	var all []Order
+	for range 5 {
+		all = append(all, ofKind(w.plan(), UpkeepMachine)...)
+		m, _ := w.s.Intents(w.now)
+		w.s.Intended(m)
+	}
+	return all
+}
+
+// TestCapAcrossTerms guards against a new leader that takes machines down
+// beside those that its predecessor has just taken down, whose runners the
+// store still lists.
+func TestCapAcrossTerms(t *testing.T) {
+	w := newWorld(t, 1)
+	w.s.Limits.Upkeep = 2 * time.Second
+	w.runner("a", "b", "c", "d")
+	wv := machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b", "m-c", "m-d"}, Cap: 2, Within: time.Minute}
+	w.s.SetWave(wv, false, w.now)
+	first := w.upkeeps()
+	if len(first) != 2 {
+		t.Fatalf("first term ordered %d machines, want 2", len(first))
+	}
+	for i := range first {
+		w.s.MachineAnswered(&first[i], machine.Accepted, true, w.now)
+	}
+	intents, _ := w.s.Intents(w.now)
+
+	next := newWorld(t, 2)
+	next.s.Limits.Upkeep = 2 * time.Second
+	next.now = w.now
+	next.s.Intended(intents)
+	next.runner("a", "b", "c", "d")
+	next.s.SetWave(wv, false, next.now)
+	if got := next.upkeeps(); len(got) != 0 {
+		t.Errorf("second term ordered %v while two machines are down", got)
+	}
+	next.now += 3 * second
+	for _, id := range []runner.ID{"a", "b", "c", "d"} {
+		next.report(id)
+	}
+	got := next.upkeeps()
+	if len(got) != 2 {
+		t.Errorf("second term ordered %d machines after the others were back, want 2", len(got))
+	}
+	for _, o := range got {
+		if o.Machine == first[0].Machine || o.Machine == first[1].Machine {
+			t.Errorf("machine %s is ordered again", o.Machine)
+		}
+	}
+}
+
+// TestUpkeepWaitsForRuns guards against an upkeep that ends a task on a runner
+// that has only fallen silent.
+func TestUpkeepWaitsForRuns(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runner("a")
+	w.job(1, job1)
+	w.accept(w.plan())
+	w.s.Silent("a", w.now)
+	w.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, Cap: 1, Within: time.Second}, false, w.now)
+	if got := w.upkeeps(); len(got) != 0 {
+		t.Errorf("orders %v while the runner may run a task", got)
+	}
+}
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -27,7 +27,7 @@
 func newWorld(t *testing.T, term runner.Term) *world {
 	t.Helper()
 	w := &world{t: t, now: 1000 * second, ends: make(map[runner.ID][]runner.End)}
-	w.s = New(term, w.now, Limits{Hold: 6 * time.Second, Keep: time.Minute, Takeover: 15 * time.Second, Gang: 3 * time.Second}, log.NewNopLogger())
+	w.s = New(term, w.now, Limits{Hold: 6 * time.Second, Keep: time.Minute, Takeover: 15 * time.Second, Gang: 3 * time.Second}, testLogger(t))
 	w.s.Configure(job.NewConfig(1, []*job.Queue{{Name: "work", Service: "pool", Attempts: 3, Stretch: 2, Target: time.Second}},
 		[]*job.Service{{Name: "pool", Guards: true}}, job.Limits{}))
 	return w
@@ -115,3 +115,14 @@
 	}
 	return r
 }
+
+// job1 is a step with one task.
+var job1 = job.Step{Count: 1}
+
+// testLogger writes log lines to the test's output.
+func testLogger(t *testing.T) log.Logger {
+	return log.LoggerFunc(func(kv ...any) error {
+		t.Log(kv...)
+		return nil
+	})
+}
