sched: ask the queue's policy, pace fillers, retry runs that stand still

Cause: the contract has queues whose policy allows only some runners, fillers that disturb serving tasks, and runners whose tasks stand still; none of these was handled.

Now a run is retried only if it uses no processor, and a speculative task copied only if most of its step is done.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,6 +71,7 @@
 			Prefix: platform.WavePrefix, Decode: platform.DecodeWave, Status: platform.WaveStatus,
 		},
 		Machines:  machines(s.Machines),
+		Policy:    policy(s.Advice),
 		Operators: d.operators.Config,
 		Limits: sched.Limits{
 			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
@@ -91,6 +92,14 @@
 	return d
 }
 
+// policy returns the policy service, or nil if the platform has none.
+func policy(addr netip.AddrPort) lead.Policy {
+	if !addr.IsValid() {
+		return nil
+	}
+	return platform.NewAdvice(addr)
+}
+
 // machines returns the machines' API, or nil if the platform has none.
 func machines(addr netip.AddrPort) machine.API {
 	if !addr.IsValid() {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -151,6 +151,12 @@
 	return string(b)
 }
 
+// StepName is the name of the task's step.
+func (t Task) StepName() string {
+	n := t.String()
+	return n[:strings.LastIndexByte(n, '.')]
+}
+
 // ParseTask reads a name written by String.
 func ParseTask(s string) (Task, error) {
 	f := strings.Split(s, ".")
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -58,6 +58,11 @@
 	Status func(number int, completed bool) (key string, value []byte, err error)
 }
 
+// Policy is the service that knows which runners may run a step.
+type Policy interface {
+	Ask(ctx context.Context, step string, runners []runner.ID) (allowed []sched.Allowed, valid time.Duration, err error)
+}
+
 // Config is what a Leader needs. All fields must be set.
 type Config struct {
 	Self    Holder
@@ -67,6 +72,8 @@
 	Waves   Waves
 	// Machines is nil where the platform has no API for machines.
 	Machines machine.API
+	// Policy is nil where the platform has no policy service.
+	Policy Policy
 	// Operators returns the configuration in force, or nil.
 	Operators func() *job.Config
 	Limits    sched.Limits
@@ -209,7 +216,7 @@
 	defer cancel(nil)
 	x := &term{
 		cfg: &l.cfg, id: t, lease: lease, ttl: ttl, logger: logger, lose: cancel,
-		kick: make(chan struct{}, 1), lookers: make(map[runner.ID]bool),
+		kick: make(chan struct{}, 1), questions: make(chan sched.Question, questionQueue), lookers: make(map[runner.ID]bool),
 		state: sched.New(t, clock.Now(), limits, logger),
 	}
 	x.renewed.Store(int64(granted))
@@ -277,14 +284,15 @@
 
 // term is one term of this daemon as the leader.
 type term struct {
-	cfg     *Config
-	id      runner.Term
-	lease   kv.Lease
-	ttl     time.Duration
-	logger  log.Logger
-	lose    context.CancelCauseFunc
-	renewed atomic.Int64 // clock.Boot at which the last successful renewal was sent
-	kick    chan struct{}
+	cfg       *Config
+	id        runner.Term
+	lease     kv.Lease
+	ttl       time.Duration
+	logger    log.Logger
+	lose      context.CancelCauseFunc
+	renewed   atomic.Int64 // clock.Boot at which the last successful renewal was sent
+	kick      chan struct{}
+	questions chan sched.Question
 
 	mu      sync.Mutex
 	state   *sched.State
@@ -307,6 +315,7 @@
 		x.spawn(func() { x.watchServers(ctx, serversRev) })
 		x.spawn(func() { x.watchWaves(ctx) })
 		x.spawn(func() { x.listMachines(ctx) })
+		x.spawn(func() { x.ask(ctx) })
 		x.spawn(func() { x.flushAlways(ctx) })
 		x.spawn(func() { x.plan(ctx) })
 	}
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -53,7 +53,11 @@
 		}
 		x.state.Plan(clock.Now(), time.Now())
 		orders := x.state.Orders()
+		questions := x.state.Questions()
 		x.mu.Unlock()
+		for _, q := range questions {
+			x.enqueue(q)
+		}
 		for i := range orders {
 			switch orders[i].Kind {
 			case sched.UpkeepMachine, sched.MoveMachine:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -111,6 +111,8 @@
 	// milliseconds, and for any other task the processor in use in thousandths
 	// of a core.
 	Load int
+	// Measured tells that the runner reports loads.
+	Measured bool
 }
 
 // Cause is how a run has ended.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -37,7 +37,7 @@
 }
 
 // start records a run and orders it.
-func (s *State) start(t *task, n *node, attempt int, now clock.Boot, why string) *run {
+func (s *State) start(t *task, n *node, attempt int, now clock.Boot, why string) {
 	r := &run{
 		task: t, attempt: attempt, node: n, demand: t.step.spec.Demand(), ordered: now, pace: 100, sending: true,
 	}
@@ -52,11 +52,10 @@
 	})
 	s.Logger.Log("msg", "run is ordered", "task", t.name, "attempt", attempt, "runner", n.ID, "service", n.Service,
 		"free", n.free().CPU, "runs", len(n.runs), "heard", now.Sub(n.lastHeard), "waited", now.Sub(t.work.arrived), "why", why)
-	return r
 }
 
 // stop orders the end of a run.
-func (s *State) stop(r *run, why string, now clock.Boot) {
+func (s *State) stop(r *run, why string) {
 	if r.phase == stopping {
 		return
 	}
@@ -137,6 +136,7 @@
 	st := runner.Start{
 		Task: o.Task, Attempt: o.Attempt, Spec: r.task.work.job.Spec, Until: s.lease(r.node, now),
 	}
+	st.Permit = r.ticket()
 	if r.task.step.spec.Saves {
 		st.Saved = r.task.saved
 	}
@@ -207,10 +207,20 @@
 		return
 	}
 	if r.unsure {
-		s.stop(r, "start had no answer, then a refusal", now)
+		s.stop(r, "start had no answer, then a refusal")
 		return
 	}
 	n.drop(r)
 	r.task.ended = now
 	s.changed = true
+	if reply.Verdict == runner.NoPermit {
+		delete(r.task.step.permits.by, n.ID)
+	}
+	if r.task.step.spec.Gang {
+		for _, t := range r.task.step.tasks {
+			for _, x := range t.runs {
+				s.stop(x, "a member of its gang was refused")
+			}
+		}
+	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -18,7 +18,7 @@
 		return
 	}
 	s.expire(now)
-	s.settle(now)
+	s.settle()
 	s.resend()
 	s.release(wall)
 	s.planWaves(now)
@@ -39,7 +39,9 @@
 		}
 		slices.SortFunc(ns, func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
 		s.place(ns, ws, now)
+		s.stragglers(ns, now)
 	}
+	s.pace(now)
 }
 
 // returnGrace is how long a task that does not last waits after the lease of
@@ -194,6 +196,7 @@
 			if st.complete() || !b.occ.ready(st) {
 				continue
 			}
+			s.question(ns, st, now)
 			if st.spec.Gang {
 				s.placeGang(ns, st, now)
 				continue
@@ -256,6 +259,9 @@
 // allowed tells whether a task may run on a runner.
 func (s *State) allowed(n *node, t *task, now clock.Boot) bool {
 	sp := t.step.spec
+	if !s.permitted(n, t.step, now) {
+		return false
+	}
 	if !sp.Demand().Fits(n.free()) || !n.Has(sp.Label) || !n.health.allows(now, len(n.runs)) {
 		return false
 	}
@@ -297,6 +303,9 @@
 		sc[3] = n.free().CPU
 		return sc
 	}
+	if sp.Fills && n.serves() {
+		sc[2] = -1
+	}
 	// Tasks that end are packed, so that idle runners stay idle.
 	sc[3] = -n.free().CPU
 	return sc
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -200,6 +200,9 @@
 		r.phase = running
 	}
 	r.percent, r.load = row.Percent, row.Load
+	if row.Measured {
+		r.watch(now)
+	}
 	if row.Saved != "" {
 		r.task.saved = row.Saved
 	}
@@ -236,11 +239,11 @@
 	s.Logger.Log("msg", "run is adopted", "task", row.Task, "attempt", row.Attempt, "runner", n.ID)
 	switch {
 	case !w.open():
-		s.stop(r, "job has ended", now)
+		s.stop(r, "job has ended")
 	case t.done:
-		s.stop(r, "task is done", now)
+		s.stop(r, "task is done")
 	case len(t.runs) > 1 && !t.step.spec.Speculative:
-		s.stop(r, "task runs elsewhere", now)
+		s.stop(r, "task runs elsewhere")
 	}
 	return r
 }
@@ -336,7 +339,7 @@
 		x.step.done++
 		for _, r := range slices.Clone(x.runs) {
 			if !x.step.spec.Gang {
-				s.stop(r, "another copy is done", now)
+				s.stop(r, "another copy is done")
 			}
 		}
 	}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -133,7 +133,7 @@
 
 // settle forgets rows of earlier terms that no longer matter, and collects the
 // tasks that may run on the runners of the others.
-func (s *State) settle(now clock.Boot) {
+func (s *State) settle() {
 	if len(s.inherited) == 0 {
 		s.reached, s.possible = true, nil
 		return
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -50,6 +50,7 @@
 	reached   bool               // no open row is inherited any more
 	possible  map[job.Task]bool  // tasks of inherited closed rows
 	orders    []Order
+	questions []Question
 	changed   bool // a flush is due
 	closed    []*work
 	waves     map[int]*wave
@@ -178,7 +179,7 @@
 		for _, st := range oc.steps {
 			for _, t := range st.tasks {
 				for _, r := range slices.Clone(t.runs) {
-					s.stop(r, why, now)
+					s.stop(r, why)
 				}
 			}
 		}
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -290,7 +290,7 @@
 func (s *State) stopBatch(n *node, now clock.Boot) {
 	for _, r := range runsOf(n) {
 		if !r.task.step.spec.Lasting {
-			s.stop(r, "its machine is due for upkeep", now)
+			s.stop(r, "its machine is due for upkeep")
 		}
 	}
 }
@@ -299,7 +299,7 @@
 func (s *State) evacuate(n *node, now clock.Boot) {
 	for _, r := range runsOf(n) {
 		if r.task.step.spec.Lasting && r.phase != stopping && s.mayMiss(r.task) && s.placeable(r.task, now) {
-			s.stop(r, "its runner leaves", now)
+			s.stop(r, "its runner leaves")
 		}
 	}
 }
--- a/internal/sched/work.go
+++ b/internal/sched/work.go
@@ -37,7 +37,8 @@
 	// unsure tells that an order to start had no answer, so that it may yet be
 	// carried out even if a repeated one is refused.
 	unsure  bool
-	sending bool // an order about the run is being sent
+	stalled clock.Boot // since when it uses no processor; zero: it does
+	sending bool       // an order about the run is being sent
 }
 
 // task is one task of an occurrence.
@@ -52,6 +53,7 @@
 	runs    []*run
 	after   clock.Boot // not started again before this
 	avoid   []runner.ID
+	retried bool       // a slow run was given a copy or another attempt
 	ended   clock.Boot // when its last run ended
 }
 
@@ -60,11 +62,12 @@
 
 // step is one step of an occurrence.
 type step struct {
-	occ   *occurrence
-	spec  *job.Step
-	index int
-	tasks []*task
-	done  int
+	occ     *occurrence
+	spec    *job.Step
+	index   int
+	tasks   []*task
+	done    int
+	permits permits
 }
 
 // complete tells whether all tasks of the step are done.
