--- /dev/null
+++ b/internal/sched/weakened_test.go
@@ -0,0 +1,57 @@
+package sched
+
+import (
+	"flag"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// recorder takes the verdict of a property in place of the test.
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+
+// TestModelFindsFaults guards against a model that passes because it checks
+// nothing: without a safeguard it must fail.
+func TestModelFindsFaults(t *testing.T) {
+	for name, value := range map[string]string{"rapid.shrinktime": "0s", "rapid.nofailfile": "true", "rapid.checks": "3000", "rapid.steps": "100"} {
+		f := flag.Lookup(name)
+		old := f.Value.String()
+		if err := f.Value.Set(value); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := f.Value.Set(old); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	for _, weaken := range []string{"takeover", "noted", "sure"} {
+		t.Run(weaken, func(t *testing.T) {
+			r := &recorder{TB: t}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				rapid.Check(r, checkModel(weaken))
+			}()
+			<-ended
+			if !r.failed {
+				t.Errorf("the model does not fail without the safeguard %q", weaken)
+			}
+		})
+	}
+}
