--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,251 @@
+// Package store is a stand-in of the platform's key-value service in memory,
+// with the faults that the contract allows: it refuses calls, loses answers
+// after the write, drops its history and takes leases away.
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+)
+
+// Store keeps keys in memory. The zero value is empty and ready.
+type Store struct {
+	mu      sync.Mutex
+	rev     kv.Revision
+	items   map[string]kv.Item
+	log     []kv.Event
+	dropped kv.Revision // history up to here is gone
+	leases  map[kv.Lease]time.Duration
+	changed chan struct{}
+	commits int
+	down    bool
+	// LoseEvery lets each n-th commit take effect without an answer.
+	LoseEvery int
+}
+
+func (s *Store) init() {
+	if s.items == nil {
+		s.items, s.leases = make(map[string]kv.Item), make(map[kv.Lease]time.Duration)
+		s.changed = make(chan struct{})
+		s.rev = 1
+	}
+}
+
+// SetDown makes the store refuse all calls, or serve again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.log, s.dropped = nil, s.rev
+}
+
+// Put writes a key as the operators or the runners do.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.apply(kv.Txn{Writes: []kv.Write{{Key: key, Value: value}}})
+}
+
+// TakeLeases ends all leases and deletes their keys at once.
+func (s *Store) TakeLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	for l := range s.leases {
+		s.endLease(l)
+	}
+}
+
+func (s *Store) endLease(l kv.Lease) {
+	delete(s.leases, l)
+	var t kv.Txn
+	for key, it := range s.items {
+		if it.Lease == l {
+			t.Deletes = append(t.Deletes, key)
+		}
+	}
+	if len(t.Deletes) > 0 {
+		s.apply(t)
+	}
+}
+
+func (s *Store) apply(t kv.Txn) {
+	s.rev++
+	for _, w := range t.Writes {
+		it := kv.Item{Key: w.Key, Value: slices.Clone(w.Value), Rev: s.rev, Created: s.rev, Lease: w.Lease}
+		if old, ok := s.items[w.Key]; ok {
+			it.Created = old.Created
+		}
+		s.items[w.Key] = it
+		s.log = append(s.log, kv.Event{Item: it})
+	}
+	for _, key := range t.Deletes {
+		if _, ok := s.items[key]; ok {
+			delete(s.items, key)
+			s.log = append(s.log, kv.Event{Item: kv.Item{Key: key, Rev: s.rev}, Deleted: true})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Get reads one key.
+func (s *Store) Get(_ context.Context, key string) (kv.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return kv.Item{}, errors.Wrap(kv.ErrRefused, "down")
+	}
+	it, ok := s.items[key]
+	if !ok {
+		return kv.Item{}, errors.Wrap(kv.ErrNotFound, key)
+	}
+	return it, nil
+}
+
+// List returns the keys with a prefix.
+func (s *Store) List(_ context.Context, prefix string) ([]kv.Item, kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return nil, 0, errors.Wrap(kv.ErrRefused, "down")
+	}
+	var items []kv.Item
+	for key, it := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, it)
+		}
+	}
+	slices.SortFunc(items, func(a, b kv.Item) int { return strings.Compare(a.Key, b.Key) })
+	return items, s.rev, nil
+}
+
+// Watch waits for changes of a prefix after a revision.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, until time.Time) ([]kv.Event, kv.Revision, error) {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	for {
+		events, rev, changed, err := s.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, rev, err
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return nil, rev, nil
+		case <-ctx.Done():
+			return nil, 0, errors.Wrap(kv.ErrUnknown, "watch ended")
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after kv.Revision) ([]kv.Event, kv.Revision, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return nil, 0, nil, errors.Wrap(kv.ErrRefused, "down")
+	}
+	if after < s.dropped {
+		return nil, 0, nil, errors.Wrap(kv.ErrCompacted, prefix)
+	}
+	var events []kv.Event
+	for _, e := range s.log {
+		if e.Rev > after && strings.HasPrefix(e.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.rev, s.changed, nil
+}
+
+// Commit applies a transaction if its conditions hold.
+func (s *Store) Commit(_ context.Context, t kv.Txn) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return 0, errors.Wrap(kv.ErrRefused, "down")
+	}
+	if n := len(t.Conds) + len(t.Writes) + len(t.Deletes); n > kv.MaxEntries {
+		return 0, errors.Wrapf(kv.ErrRefused, "%d entries", n)
+	}
+	conflict := &kv.Conflict{}
+	broken := false
+	for _, c := range t.Conds {
+		it := s.items[c.Key]
+		broken = broken || it.Rev != c.Rev
+		it.Key = c.Key
+		conflict.Items = append(conflict.Items, it)
+	}
+	if broken {
+		return 0, conflict
+	}
+	for _, w := range t.Writes {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return 0, errors.Wrap(kv.ErrNotFound, "lease")
+		}
+	}
+	s.apply(t)
+	s.commits++
+	if s.LoseEvery > 0 && s.commits%s.LoseEvery == 0 {
+		return 0, errors.Wrap(kv.ErrUnknown, "answer lost")
+	}
+	return s.rev, nil
+}
+
+// Grant returns a lease. It ends only by Revoke and TakeLeases.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.Lease, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return 0, 0, errors.Wrap(kv.ErrRefused, "down")
+	}
+	s.rev++
+	l := kv.Lease(s.rev)
+	s.leases[l] = ttl
+	return l, ttl, nil
+}
+
+// Renew extends a lease.
+func (s *Store) Renew(_ context.Context, l kv.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return errors.Wrap(kv.ErrRefused, "down")
+	}
+	if _, ok := s.leases[l]; !ok {
+		return errors.Wrap(kv.ErrNotFound, "lease")
+	}
+	return nil
+}
+
+// Revoke ends a lease.
+func (s *Store) Revoke(_ context.Context, l kv.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.down {
+		return errors.Wrap(kv.ErrRefused, "down")
+	}
+	s.endLease(l)
+	return nil
+}
