--- a/internal/ask/ask.go
+++ b/internal/ask/ask.go
@@ -166,7 +166,7 @@
 	}
 	c.SetReadLimit(maxMessage)
 	a.to, a.link = to, &link{conn: c, waiting: make(map[uint64]chan reply)}
-	go a.link.read()
+	go a.link.read(context.WithoutCancel(ctx))
 	return a.link, nil
 }
 
@@ -230,10 +230,10 @@
 }
 
 // read delivers answers until the connection ends.
-func (l *link) read() {
+func (l *link) read(ctx context.Context) {
 	defer l.close()
 	for {
-		_, b, err := l.conn.Read(context.Background())
+		_, b, err := l.conn.Read(ctx)
 		if err != nil {
 			return
 		}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -57,7 +57,7 @@
 	case !errors.Is(err, kv.ErrNotFound):
 		return sched.Status{}, err
 	}
-	if _, err := e.Store.Get(ctx, job.JobKey(id)); errors.Is(err, kv.ErrNotFound) {
+	if _, err := e.Store.Get(ctx, job.Key(id)); errors.Is(err, kv.ErrNotFound) {
 		return sched.Status{}, errors.Wrapf(ErrNoSuchJob, "job %s", id)
 	} else if err != nil {
 		return sched.Status{}, err
@@ -67,7 +67,7 @@
 
 // Cancel ends a job. It is cancelled once the store holds the mark.
 func (e *Entry) Cancel(ctx context.Context, id job.ID, deadline time.Time) (Verdict, error) {
-	if _, err := e.Store.Get(ctx, job.JobKey(id)); err != nil {
+	if _, err := e.Store.Get(ctx, job.Key(id)); err != nil {
 		if errors.Is(err, kv.ErrNotFound) {
 			return Refused, errors.Wrapf(ErrNoSuchJob, "job %s", id)
 		}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -14,6 +14,7 @@
 // Verdict is what a caller is told of a submission.
 type Verdict int
 
+// Verdicts.
 const (
 	Accepted Verdict = iota
 	Refused          // the job is not stored, and this attempt will not store it
@@ -103,7 +104,7 @@
 		in.Logger.Log("msg", "job cannot be stored", "job", j.ID, "err", err)
 		return Refused
 	}
-	return in.put(ctx, job.JobKey(j.ID), b, deadline)
+	return in.put(ctx, job.Key(j.ID), b, deadline)
 }
 
 // put creates a key and waits for the verdict. A key that exists is accepted.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -135,18 +135,18 @@
 		return err
 	}, func(error) { resign(); stop() })
 	front := &http.Server{Handler: d.front.Handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
-	if err := d.serve(&g, "front", d.settings.Front, front); err != nil {
+	if err := d.serve(ctx, &g, "front", d.settings.Front, front); err != nil {
 		return err
 	}
-	if err := d.serve(&g, "ready", d.settings.Ready, &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTime}); err != nil {
+	if err := d.serve(ctx, &g, "ready", d.settings.Ready, &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTime}); err != nil {
 		return err
 	}
 	peers := http.NewServeMux()
 	peers.Handle(ask.Path, ask.Handler(d.leader))
-	if err := d.serve(&g, "peer", d.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTime}); err != nil {
+	if err := d.serve(ctx, &g, "peer", d.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTime}); err != nil {
 		return err
 	}
-	if err := d.serve(&g, "metrics", d.metricsAt, &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: headerTime}); err != nil {
+	if err := d.serve(ctx, &g, "metrics", d.metricsAt, &http.Server{Handler: d.metrics.Handler(), ReadHeaderTimeout: headerTime}); err != nil {
 		return err
 	}
 	add(func(c context.Context) error { return d.reload(c, settingsPath) })
@@ -156,7 +156,7 @@
 		case <-c.Done():
 			return nil
 		}
-		d.drain(front, resign)
+		d.drain(context.WithoutCancel(c), front, resign)
 		return nil
 	})
 	err := g.Run()
@@ -175,8 +175,8 @@
 )
 
 // serve adds an HTTP server to the group.
-func (d *Daemon) serve(g *run.Group, part string, at netip.AddrPort, s *http.Server) error {
-	l, err := net.Listen("tcp", at.String())
+func (d *Daemon) serve(ctx context.Context, g *run.Group, part string, at netip.AddrPort, s *http.Server) error {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", at.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", part)
 	}
@@ -194,14 +194,14 @@
 }
 
 // drain ends the daemon's work without cutting a request off.
-func (d *Daemon) drain(front *http.Server, resign func()) {
+func (d *Daemon) drain(ctx context.Context, front *http.Server, resign func()) {
 	d.stopping.Store(true)
 	deadline := time.Now().Add(d.settings.Bounds.Grace - stopMargin)
 	d.logger.Log("msg", "daemon is told to stop", "leading", d.leader.Leading(), "until", deadline)
 	resign()
 	<-d.leader.Done()
 	time.Sleep(min(rotationTime, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		d.logger.Log("msg", "requests are cut off", "err", err)
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -16,8 +16,8 @@
 	MachinesKey    = "gt/machines"
 )
 
-// JobKey is where an accepted job lies.
-func JobKey(id ID) string { return JobPrefix + string(id) }
+// Key is where an accepted job lies.
+func Key(id ID) string { return JobPrefix + string(id) }
 
 // CancelKey marks a job as cancelled.
 func CancelKey(id ID) string { return CancelPrefix + string(id) }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -10,6 +10,7 @@
 // Outcome is how a job has ended; zero means that it has not.
 type Outcome int
 
+// Outcomes.
 const (
 	Open Outcome = iota
 	Completed
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -198,7 +198,7 @@
 	}
 	s.store.SetDown(false)
 	s.wait(ids)
-	if _, err := s.store.Get(context.Background(), job.JobKey(refused.ID)); err == nil {
+	if _, err := s.store.Get(context.Background(), job.Key(refused.ID)); err == nil {
 		t.Error("the store holds a job that was refused")
 	}
 	s.once()
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -193,9 +193,7 @@
 	if err := x.confirm(ctx); err != nil {
 		return 0, err
 	}
-	if err := x.expire(ctx); err != nil {
-		return 0, err
-	}
+	x.expire(ctx)
 	if err := x.storeIntents(ctx); err != nil {
 		return 0, err
 	}
@@ -317,20 +315,19 @@
 const expireRows = (kv.MaxEntries - 1) / 3
 
 // expire deletes jobs whose outcome need no longer be kept.
-func (x *term) expire(ctx context.Context) error {
+func (x *term) expire(ctx context.Context) {
 	x.mu.Lock()
 	ids := x.state.Expired(clock.Now(), expireRows)
 	x.mu.Unlock()
 	if len(ids) == 0 {
-		return nil
+		return
 	}
 	t := kv.Txn{Conds: []kv.Cond{{Key: job.LeaderKey, Rev: kv.Revision(x.id)}}}
 	for _, id := range ids {
-		t.Deletes = append(t.Deletes, job.JobKey(id), job.CancelKey(id), job.ProgressKey(id))
+		t.Deletes = append(t.Deletes, job.Key(id), job.CancelKey(id), job.ProgressKey(id))
 	}
 	if _, err := x.cfg.Store.Commit(ctx, t); err != nil {
 		// They are deleted by the next term, which finds them again.
 		x.logger.Log("msg", "ended jobs are not deleted", "jobs", len(ids), "err", err)
 	}
-	return nil
 }
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -18,6 +18,7 @@
 // State is what a machine does.
 type State int
 
+// States.
 const (
 	Up State = iota
 	Moving
@@ -42,6 +43,7 @@
 // Verdict is the answer to an order.
 type Verdict int
 
+// Verdicts.
 const (
 	Accepted  Verdict = iota // also if it had been carried out before
 	Fenced                   // a later holder has ordered the machine
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,6 +60,7 @@
 // Verdict is a runner's answer to an order.
 type Verdict int
 
+// Verdicts.
 const (
 	Accepted   Verdict = iota // also if it had been carried out before
 	Fenced                    // a higher term has been seen
@@ -118,6 +119,7 @@
 // Cause is how a run has ended.
 type Cause int
 
+// Causes.
 const (
 	Done Cause = iota
 	Failed
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -12,6 +12,7 @@
 // Kind is what an order asks for.
 type Kind int
 
+// Kinds.
 const (
 	StartRun Kind = iota
 	StopRun
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -363,7 +363,7 @@
 func (s *State) donor(ds []*demand, to *demand, timely bool, now clock.Boot) *host {
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d == to || d.machines <= d.target && !(timely && d.machines > d.timely) {
+		if d == to || d.machines <= d.target && (!timely || d.machines <= d.timely) {
 			continue
 		}
 		if h := s.take(d, &d.idle, to.pool, now); h != nil {
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -250,7 +250,7 @@
 			s.evacuate(n, now)
 			if len(n.runs) > 0 {
 				if now.Sub(u.since) > drainTime && s.pressed(u.wave, now) {
-					s.stopBatch(n, now)
+					s.stopBatch(n)
 				}
 				return
 			}
@@ -287,7 +287,7 @@
 }
 
 // stopBatch stops the runs that do not last.
-func (s *State) stopBatch(n *node, now clock.Boot) {
+func (s *State) stopBatch(n *node) {
 	for _, r := range runsOf(n) {
 		if !r.task.step.spec.Lasting {
 			s.stop(r, "its machine is due for upkeep")
