sched: make plans and looks cheaper

Cause: on the grown deployments the leader is short of processor time. The machine of an upkeep was searched among all runners, slow matters were planned every 4 ms, and 350 runners were looked at as often as 41.

Runners are indexed by machine, slow matters planned every 30 ms, a plan waits three times as long as the last one took, and the gap between looks grows with the runners. The tests' plan() steps the clock so that each is a whole plan.

--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -25,6 +25,11 @@
 	flushGap = 30 * time.Millisecond
 	// lookGap follows each look, so that one look brings several ends.
 	lookGap = 30 * time.Millisecond
+	// lookShare is added to the gap for each runner, so that the looks at many
+	// runners leave the leader processor time for its other work.
+	lookShare = 400 * time.Microsecond
+	// planShare is how many times as long as a plan took the next one waits.
+	planShare = 3
 	// silentGap follows a look that failed.
 	silentGap = 200 * time.Millisecond
 	// orderPause follows an order without an answer.
@@ -46,6 +51,7 @@
 		case <-t.C:
 		case <-x.kick:
 		}
+		begun := clock.Now()
 		x.mu.Lock()
 		if c := x.cfg.Operators(); c != cfg && c != nil {
 			cfg = c
@@ -55,6 +61,7 @@
 		orders := x.state.Orders()
 		questions := x.state.Questions()
 		x.mu.Unlock()
+		took := clock.Now().Sub(begun)
 		for _, q := range questions {
 			x.enqueue(q)
 		}
@@ -66,7 +73,7 @@
 				x.spawn(func() { x.order(ctx, orders[i]) })
 			}
 		}
-		pause(ctx, planGap)
+		pause(ctx, max(planGap, planShare*took))
 	}
 }
 
@@ -136,6 +143,7 @@
 func (x *term) look(ctx context.Context, id runner.ID) {
 	for ctx.Err() == nil {
 		x.mu.Lock()
+		gap := time.Duration(len(x.lookers)) * lookShare
 		l, ok := x.state.Look(id, clock.Now())
 		if !ok {
 			delete(x.lookers, id)
@@ -161,7 +169,7 @@
 		if rep == nil {
 			pause(ctx, silentGap)
 		} else {
-			pause(ctx, lookGap)
+			pause(ctx, max(lookGap, gap))
 		}
 	}
 }
--- a/internal/sched/node.go
+++ b/internal/sched/node.go
@@ -30,6 +30,8 @@
 	ends      []noted
 	runs      map[job.Task]*run
 	used      job.Room
+	lasting   int        // runs that last
+	serving   int        // runs with a target
 	blocked   clock.Boot // no starts before this
 	idle      clock.Boot // since when it runs nothing
 	lapsedAt  clock.Boot // when its lease was first seen to have lapsed
@@ -93,6 +95,7 @@
 	if n.runs[r.task.name] == r {
 		delete(n.runs, r.task.name)
 		n.used = n.used.Sub(r.demand)
+		n.count(r, -1)
 	}
 	t := r.task
 	for i, x := range t.runs {
@@ -103,9 +106,20 @@
 	}
 }
 
+// count keeps the numbers of runs of some kinds.
+func (n *node) count(r *run, d int) {
+	if r.task.step.spec.Lasting {
+		n.lasting += d
+	}
+	if r.task.step.spec.Target > 0 {
+		n.serving += d
+	}
+}
+
 // add records a run.
 func (n *node) add(r *run) {
 	n.runs[r.task.name] = r
 	n.used = n.used.Add(r.demand)
+	n.count(r, 1)
 	r.task.runs = append(r.task.runs, r)
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -88,13 +88,3 @@
 		Task: r.task.name, Attempt: r.attempt, Percent: want,
 	})
 }
-
-// serves tells whether a lasting task with a target runs here.
-func (n *node) serves() bool {
-	for _, r := range n.runs {
-		if r.task.step.spec.Target > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -17,12 +17,16 @@
 	if s.cfg == nil {
 		return
 	}
-	s.expire(now)
-	s.settle()
-	s.resend()
-	s.release(wall)
-	s.planWaves(now)
-	s.planPools(now)
+	slow := now.Sub(s.slow) >= slowPlan
+	if slow {
+		s.slow = now
+		s.expire(now)
+		s.settle()
+		s.resend()
+		s.release(wall)
+		s.planWaves(now)
+		s.planPools(now)
+	}
 	pools := make(map[string][]*node)
 	for _, n := range s.nodes {
 		if len(n.runs) > 0 || n.idle == 0 {
@@ -39,11 +43,19 @@
 		}
 		slices.SortFunc(ns, func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
 		s.place(ns, ws, now)
-		s.stragglers(ns, now)
+		if slow {
+			s.stragglers(ns, now)
+		}
+	}
+	if slow {
+		s.pace(now)
 	}
-	s.pace(now)
 }
 
+// slowPlan is between two plans of what changes slowly: leases, orders that are
+// sent again, waves, pools and paces.
+const slowPlan = 30 * time.Millisecond
+
 // returnGrace is how long a task that does not last waits after the lease of
 // its run has lapsed. The runner may come back with an end of that run, and a
 // second run would then have been for nothing.
@@ -191,11 +203,15 @@
 
 // place starts what fits on the usable runners of a service.
 func (s *State) place(ns []*node, ws []*work, now clock.Boot) {
+	most := largest(ns)
 	for _, b := range s.bids(ws, now) {
 		for _, st := range b.occ.steps {
 			if st.complete() || !b.occ.ready(st) {
 				continue
 			}
+			if !st.spec.Demand().Fits(most) {
+				continue
+			}
 			s.question(ns, st, now)
 			if st.spec.Gang {
 				s.placeGang(ns, st, now)
@@ -211,10 +227,21 @@
 				}
 				s.start(t, n, s.nextAttempt(t), now, reason(b, n, t))
 			}
+			most = largest(ns)
 		}
 	}
 }
 
+// largest returns the most room of each kind that any runner has free.
+func largest(ns []*node) job.Room {
+	var most job.Room
+	for _, n := range ns {
+		f := n.free()
+		most = job.Room{CPU: max(most.CPU, f.CPU), Mem: max(most.Mem, f.Mem), GPU: max(most.GPU, f.GPU)}
+	}
+	return most
+}
+
 // reason says why a task was placed where it was.
 func reason(b bid, n *node, t *task) string {
 	switch {
@@ -297,13 +324,13 @@
 		// Few runners hold lasting tasks, so that the others can move between
 		// pools, but the tasks of one step are spread over racks.
 		sc[1] = -rackPeers(n, t)
-		if n.lasting() > 0 {
+		if n.lasting > 0 {
 			sc[2] = 1
 		}
 		sc[3] = n.free().CPU
 		return sc
 	}
-	if sp.Fills && n.serves() {
+	if sp.Fills && n.serving > 0 {
 		sc[2] = -1
 	}
 	// Tasks that end are packed, so that idle runners stay idle.
@@ -311,17 +338,6 @@
 	return sc
 }
 
-// lasting counts the lasting tasks on a runner.
-func (n *node) lasting() int {
-	c := 0
-	for _, r := range n.runs {
-		if r.task.step.spec.Lasting {
-			c++
-		}
-	}
-	return c
-}
-
 // rackPeers counts the runs of the same step in a runner's rack.
 func rackPeers(n *node, t *task) int {
 	c := 0
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -286,7 +286,7 @@
 		switch {
 		case len(n.runs) == 0:
 			d.idle = append(d.idle, n)
-		case n.lasting() == 0:
+		case n.lasting == 0:
 			d.busy = append(d.busy, n)
 		}
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -6,6 +6,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -29,6 +30,10 @@
 		n.Info = i
 	}
 	n.listed = true
+	id := machine.ID(n.Machine)
+	if old := s.byMachine[id]; old == nil || old.Life <= n.Life {
+		s.byMachine[id] = n
+	}
 }
 
 // UnlistRunner takes that the store no longer lists a runner. It gets no new
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -43,6 +43,8 @@
 	jobs      map[job.ID]*work
 	open      map[string][]*work // by service, in order of acceptance
 	nodes     map[runner.ID]*node
+	byMachine map[machine.ID]*node // newest runner
+	slow      clock.Boot           // when the slower parts of a plan were last done
 	// inherited is what earlier terms may have left on runners that this term
 	// has not reached.
 	inherited map[runner.ID]*inherited
@@ -69,7 +71,7 @@
 	return &State{
 		Term: t, Limits: l, Logger: logger, began: now,
 		jobs: make(map[job.ID]*work), open: make(map[string][]*work),
-		nodes: make(map[runner.ID]*node), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
+		nodes: make(map[runner.ID]*node), byMachine: make(map[machine.ID]*node), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
 		waves: make(map[int]*wave), hosts: make(map[machine.ID]*host), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), ordered: make(map[machine.ID]clock.Boot),
 	}
 }
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -132,13 +132,12 @@
 
 // onMachine returns the newest runner of a machine, or nil.
 func (s *State) onMachine(id machine.ID) *node {
-	var best *node
-	for _, n := range s.nodes {
-		if n.Machine == string(id) && (best == nil || n.Life > best.Life) {
-			best = n
-		}
+	n := s.byMachine[id]
+	if n != nil && s.nodes[n.ID] != n {
+		delete(s.byMachine, id)
+		return nil
 	}
-	return best
+	return n
 }
 
 // planWaves drains machines of the waves and orders their upkeep.
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -68,8 +68,9 @@
 	return id
 }
 
-// plan returns the orders of one plan.
+// plan returns the orders of one whole plan.
 func (w *world) plan() []Order {
+	w.now = w.now.Add(slowPlan)
 	w.s.Plan(w.now, time.Unix(0, 0))
 	w.orders = w.s.Orders()
 	return w.orders
