sched: withhold an end that came after another start

The platform does not see a lease lapse where nothing runs, so noting the end makes the later run one too many.

Such an end, and all after it on that runner, is not noted; the runner is used no more in this life and its machine is turned off, which gives it another. Stronger hosts now campaign first, since the leader of the grown sites was short of processor time.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,6 +29,10 @@
 )
 
 const (
+	// strongCores and strongLink are what a host needs to lead the grown
+	// deployments: about a thousand orders a second.
+	strongCores = 0.8
+	strongLink  = 200 // megabits a second
 	// rotationTime is how long the load balancer may send new connections after
 	// the daemon has reported that it is not ready: two checks, a second apart.
 	rotationTime = 2200 * time.Millisecond
@@ -77,6 +81,7 @@
 			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
 			Upkeep: s.Bounds.Upkeep, Move: s.Bounds.Move, Turn: s.Bounds.Lease,
 		},
+		Power:  min(s.Cores/strongCores, s.LinkMbps/strongLink, 1),
 		Logger: log.With(logger, "part", "lead"),
 	})
 	d.front = &platform.Front{
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -77,7 +77,10 @@
 	// Operators returns the configuration in force, or nil.
 	Operators func() *job.Config
 	Limits    sched.Limits
-	Logger    log.Logger
+	// Power is the processor and the link of this host, as a part of what a
+	// strong host has. Weaker hosts campaign later.
+	Power  float64
+	Logger log.Logger
 }
 
 // Leader follows the leader's key and leads when it gets it.
@@ -168,6 +171,10 @@
 		pause(ctx, min(wait, retryPause))
 		return nil
 	}
+	pause(ctx, l.delay())
+	if _, err := l.cfg.Store.Get(ctx, job.LeaderKey); !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
 	lease, ttl, err := l.cfg.Store.Grant(ctx, leaseTime)
 	if err != nil {
 		return errors.Wrap(err, "campaign")
@@ -202,6 +209,22 @@
 	return l.lead(ctx, runner.Term(rev), lease, ttl, granted)
 }
 
+const (
+	// campaignDelay of a host of full power; one of a quarter waits four times
+	// as long.
+	campaignDelay = 20 * time.Millisecond
+	// longestDelay bounds the delay of the weakest hosts.
+	longestDelay = 300 * time.Millisecond
+)
+
+// delay is how long this host lets stronger ones campaign first.
+func (l *Leader) delay() time.Duration {
+	if l.cfg.Power <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(campaignDelay)/l.cfg.Power), longestDelay)
+}
+
 // lead runs one term until it is lost or the context ends.
 func (l *Leader) lead(ctx context.Context, t runner.Term, lease kv.Lease, ttl time.Duration, granted clock.Boot) error {
 	logger := log.With(l.cfg.Logger, "term", int64(t))
--- a/internal/sched/node.go
+++ b/internal/sched/node.go
@@ -28,6 +28,9 @@
 	applied   int          // highest end whose effect is in the state
 	noted     int          // highest end whose effect is in the store
 	ends      []noted
+	// withheld is the first end that must not be noted, with all after it, and
+	// zero if there is none.
+	withheld  int
 	runs      map[job.Task]*run
 	used      job.Room
 	lasting   int        // runs that last
@@ -63,7 +66,7 @@
 // usable tells whether new runs may be ordered on a runner.
 func (s *State) usable(n *node, now clock.Boot) bool {
 	listed := n.listed || now.Sub(n.unlisted) < relistTime
-	return listed && !n.over && s.rostered[n.ID] && n.contacted && !n.silent && !n.Draining && !n.cordoned && !n.blocked.After(now)
+	return listed && !n.over && n.withheld == 0 && s.rostered[n.ID] && n.contacted && !n.silent && !n.Draining && !n.cordoned && !n.blocked.After(now)
 }
 
 // lease returns a lease end as far ahead as the platform allows. The estimate
@@ -82,7 +85,7 @@
 func (n *node) settle() {
 	for len(n.ends) > 0 {
 		e := n.ends[0]
-		if e.work != nil && e.work.flushed < e.version {
+		if e.work != nil && e.work.flushed < e.version || n.withheld != 0 && e.n >= n.withheld {
 			return
 		}
 		n.noted = e.n
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -43,11 +43,12 @@
 		task: t, attempt: attempt, node: n, demand: t.step.spec.Demand(), ordered: now, pace: 100, sending: true,
 	}
 	n.add(r)
-	t.attempt = max(t.attempt, attempt)
-	if !t.work.begun {
+	// A later term has to know of an attempt after the first.
+	if !t.work.begun || attempt > 1 {
 		t.work.begun = true
 		s.touch(t.work)
 	}
+	t.attempt = max(t.attempt, attempt)
 	s.orders = append(s.orders, Order{
 		Kind: StartRun, To: runner.Target{ID: n.ID, Addr: n.Addr}, Task: t.name, Attempt: attempt,
 	})
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -117,6 +117,7 @@
 	for _, h := range s.hosts {
 		s.followMove(h, now)
 	}
+	s.renew(now)
 	ds := s.demands(now)
 	s.share(ds)
 	for _, d := range ds {
@@ -142,6 +143,20 @@
 	s.shrink(ds, now)
 }
 
+// renew turns machines off whose runner cannot be used in its present life.
+func (s *State) renew(now clock.Boot) {
+	off := s.standby()
+	if off == "" {
+		return
+	}
+	for _, n := range s.nodes {
+		h := s.hosts[machine.ID(n.Machine)]
+		if n.withheld != 0 && !n.over && len(n.runs) == 0 && !n.cordoned && h != nil && s.movable(h, off, now) {
+			s.move(h, off, now)
+		}
+	}
+}
+
 // share lowers what pools should have in time if there are not machines enough
 // for all, each in proportion to what it needs beyond the base.
 func (s *State) share(ds []*demand) {
@@ -278,7 +293,7 @@
 	}
 	for _, n := range s.nodes {
 		d := byPool[n.Service]
-		if d == nil || n.over || n.cordoned || !n.contacted || n.silent || n.Draining || !n.listed {
+		if d == nil || n.over || n.cordoned || n.withheld != 0 || !n.contacted || n.silent || n.Draining || !n.listed {
 			continue
 		}
 		d.machines++
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -134,7 +134,7 @@
 		if len(n.runs) > 0 {
 			l.Wait = busyWait
 		}
-		if len(n.ends) > 0 {
+		if len(n.ends) > 0 && n.withheld == 0 {
 			l.Wait = 0 // the runner would answer at once
 		}
 	}
@@ -299,13 +299,16 @@
 	if r := n.runs[e.Task]; r != nil && r.attempt <= e.Attempt {
 		n.drop(r)
 	}
-	t.attempt = max(t.attempt, e.Attempt)
 	t.ended = now
 	s.changed = true
 	if e.Saved != "" {
 		t.saved = e.Saved
 	}
 	s.Logger.Log("msg", "run has ended", "task", e.Task, "attempt", e.Attempt, "runner", n.ID, "cause", e.Cause, "n", e.N)
+	if e.Cause == runner.Done {
+		s.withhold(n, t, e)
+		t.attempt = max(t.attempt, e.Attempt)
+	}
 	if !w.open() {
 		return w
 	}
@@ -314,16 +317,30 @@
 		n.health.succeeded()
 		s.finish(t, now)
 	case runner.Failed:
+		t.attempt = max(t.attempt, e.Attempt)
 		if n.health.failed(w.job.ID, now) {
 			s.Logger.Log("msg", "runner is set aside", "runner", n.ID, "jobs", len(n.health.failing), "pause", n.health.pause)
 		}
 		s.failed(t, n.ID, e.Attempt, now)
 	case runner.Stopped, runner.Lapsed, runner.Broken, runner.Alone:
-		s.touch(w) // keeps the highest attempt
+		t.attempt = max(t.attempt, e.Attempt)
+		s.touch(w)
 	}
 	return w
 }
 
+// withhold keeps an end as done from being noted if the task was started again
+// since, after its lease had lapsed for all that was known here. Noted, it
+// would make the later run one too many; not noted, it never counts. The runner
+// is used no more in this life, as none of its later ends can be noted.
+func (s *State) withhold(n *node, t *task, e *runner.End) {
+	if n.withheld != 0 || t.attempt <= e.Attempt || t.step.spec.Speculative || t.step.spec.Lasting {
+		return
+	}
+	n.withheld = e.N
+	s.Logger.Log("msg", "end came after another start", "runner", n.ID, "task", t.name, "attempt", e.Attempt, "started", t.attempt, "n", e.N)
+}
+
 // finish takes that a task is done.
 func (s *State) finish(t *task, now clock.Boot) {
 	w := t.work
