--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -27,6 +27,14 @@
 	Logger    log.Logger
 }
 
+// awayTime is how old the store's last answer may be for a job to be handed on
+// to it. The watch of the configuration is answered every 0.7 s; a caller whose
+// job cannot be stored is better told at once when to come back.
+const awayTime = 1500 * time.Millisecond
+
+// Reachable tells whether the store has answered lately.
+func (e *Entry) Reachable() bool { return e.Operators.Heard(time.Now().Add(-awayTime)) }
+
 // State returns how a job stands.
 func (e *Entry) State(ctx context.Context, id job.ID) (sched.Status, error) {
 	if st, ok := e.Leader.Query(id); ok && st.Known {
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -281,7 +281,7 @@
 // storeRoster stores which runners may be used, before they are.
 func (x *term) storeRoster(ctx context.Context) error {
 	x.mu.Lock()
-	rows := x.state.Roster(clock.Now(), x.closing)
+	rows := x.state.Roster(clock.Now(), false)
 	x.mu.Unlock()
 	if x.rosterRev != 0 && reflect.DeepEqual(rows, x.roster) {
 		x.mu.Lock()
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -22,7 +22,7 @@
 
 const (
 	modelHold = 6 * time.Second
-	modelStop = 8 * time.Second // a leader without the store stops after this
+	modelStop = 5 * time.Second // a leader without the store stops after this
 )
 
 // modelRunner keeps the contract of a runner.
--- /dev/null
+++ b/internal/sched/rank.go
@@ -0,0 +1,80 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+)
+
+// bid is an occurrence that waits for room, with its rank.
+type bid struct {
+	occ      *occurrence
+	lasting  bool
+	priority int
+	late     bool    // it can no longer meet its objective
+	cores    float64 // work that remains, in core-seconds
+}
+
+// bids returns the occurrences that have tasks to start, best first.
+func (s *State) bids(ws []*work, now clock.Boot) []bid {
+	var bs []bid
+	for _, w := range ws {
+		q := s.queue(w)
+		for _, o := range w.occs {
+			if !s.wants(o, now) {
+				continue
+			}
+			b := bid{occ: o, lasting: w.job.Lasting()}
+			chain, cores := o.remaining()
+			b.cores = cores
+			if q != nil {
+				b.priority = q.Priority
+				b.late = s.late(w, chain, now)
+			}
+			bs = append(bs, b)
+		}
+	}
+	slices.SortStableFunc(bs, func(a, b bid) int {
+		return cmp.Or(
+			-compareBool(a.lasting, b.lasting),
+			cmp.Compare(a.priority, b.priority),
+			compareBool(a.late, b.late),
+			cmp.Compare(a.cores, b.cores),
+		)
+	})
+	return bs
+}
+
+// late tells whether a job with the given chain left can no longer meet its
+// objective.
+func (s *State) late(w *work, chain time.Duration, now clock.Boot) bool {
+	q := s.queue(w)
+	return q != nil && now.Sub(w.arrived)+chain > q.Objective(w.chain)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// wants tells whether an occurrence has a task to start.
+func (s *State) wants(o *occurrence, now clock.Boot) bool {
+	for _, st := range o.steps {
+		if st.complete() || !o.ready(st) {
+			continue
+		}
+		for _, t := range st.tasks {
+			if s.startable(t, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -149,3 +149,33 @@
 		t.Error("a runner is set aside for one job's failures")
 	}
 }
+
+// TestResignedRoster guards against a planned change of the leader that blocks
+// lasting tasks of a dark runner for longer than its lease: the closed roster
+// tells which tasks may run there, and for how long.
+func TestResignedRoster(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runner("a", "b")
+	w.job(1, job.Step{Lasting: true})
+	starts := w.plan()
+	w.accept(starts)
+	on := starts[0].To.ID
+	other := map[runner.ID]runner.ID{"a": "b", "b": "a"}[on]
+	w.report(on, runner.Run{Task: starts[0].Task, Attempt: 1, Percent: 100})
+	rows := w.s.Roster(w.now, true)
+
+	next := newWorld(t, 200)
+	next.s.Inherit(rows)
+	next.runner(other)
+	next.job(1, job.Step{Lasting: true})
+	next.job(2, job1)
+	if got := ofKind(next.plan(), StartRun); len(got) != 1 || got[0].Task.Job != "0000000000000002" {
+		t.Fatalf("orders %v, want only the task that cannot run on the dark runner", got)
+	}
+	next.now += 8 * second
+	next.s.Confirm(next.now)
+	next.report(other)
+	if got := ofKind(next.plan(), StartRun); len(got) != 1 || got[0].Task != starts[0].Task {
+		t.Errorf("orders %v, want the task of the dark runner after its lease", got)
+	}
+}
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -75,3 +76,39 @@
 		t.Errorf("orders %v while the runner may run a task", got)
 	}
 }
+
+// TestIntentsReleased guards against a new leader that waits for machines that
+// no one has ordered for a while, and against one that does not wait for those
+// that its predecessor may just have ordered.
+func TestIntentsReleased(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after clock.Boot
+		want  int
+	}{{"just ordered", second, 0}, {"long ago", 10 * second, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.s.Limits.Turn = 5 * time.Second
+			w.runner("a")
+			w.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, Cap: 1, Within: time.Minute}, false, w.now)
+			first := w.upkeeps()
+			if len(first) != 1 {
+				t.Fatalf("%d orders, want 1", len(first))
+			}
+			w.s.MachineAnswered(&first[0], machine.Refused, true, w.now)
+			w.now += c.after
+			intents, _ := w.s.Intents(w.now)
+
+			next := newWorld(t, 2)
+			next.now = w.now
+			next.s.began = w.now
+			next.s.Limits.Turn = 5 * time.Second
+			next.s.Intended(intents)
+			next.runner("a")
+			next.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, Cap: 1, Within: time.Minute}, false, next.now)
+			if got := next.upkeeps(); len(got) != c.want {
+				t.Errorf("orders %v, want %d", got, c.want)
+			}
+		})
+	}
+}
