sched: hand on how long an unreached runner is waited for, and its address

Ruled out: the lease (it had ended 13 s before).

Rows of the roster now carry the address, and those of runners that a term has not reached the time that is left.

--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -204,6 +204,9 @@
 		}
 	}
 	x.state.Unlist(func(id runner.ID) bool { return !listed[id] }, clock.Now())
+	for _, id := range x.state.Unlisted() {
+		x.lookAt(ctx, id)
+	}
 	return rev, nil
 }
 
@@ -216,13 +219,18 @@
 		return "", false
 	}
 	x.state.SetRunner(*i, clock.Now())
-	if !x.lookers[i.ID] {
-		x.lookers[i.ID] = true
-		x.spawn(func() { x.look(ctx, i.ID) })
-	}
+	x.lookAt(ctx, i.ID)
 	return i.ID, true
 }
 
+// lookAt sees to it that a runner is looked at.
+func (x *term) lookAt(ctx context.Context, id runner.ID) {
+	if !x.lookers[id] {
+		x.lookers[id] = true
+		x.spawn(func() { x.look(ctx, id) })
+	}
+}
+
 // watchServers follows the list of runners.
 func (x *term) watchServers(ctx context.Context, rev kv.Revision) {
 	for ctx.Err() == nil {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -20,6 +20,9 @@
 		s.Logger.Log("msg", "runner is listed", "runner", i.ID, "service", i.Service, "machine", i.Machine, "draining", i.Draining)
 	case i.Life < n.Life:
 		return
+	case n.Life == 0:
+		// The roster named it; which life it was in is not known.
+		*n = *newNode(i)
 	case i.Life > n.Life:
 		s.endLife(n, "runner restarted", now)
 		*n = *newNode(i)
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -179,3 +179,48 @@
 		t.Errorf("orders %v, want the task of the dark runner after its lease", got)
 	}
 }
+
+// TestInheritedTwice guards against a runner that is gone and that each new
+// leader waits for anew: a lasting task stood still for 21 s on mix
+// 557256691568 of shramba-lj. The time left is handed on, and a runner that the
+// store no longer lists is asked at its address.
+func TestInheritedTwice(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runner("a", "b")
+	w.job(1, job.Step{Lasting: true})
+	starts := w.plan()
+	w.accept(starts)
+	on := starts[0].To.ID
+	other := map[runner.ID]runner.ID{"a": "b", "b": "a"}[on]
+	rows := w.s.Roster(w.now, false)
+
+	second2 := func(term runner.Term, rows []RosterRow) *world {
+		n := newWorld(t, term)
+		n.s.Inherit(rows)
+		n.runner(other)
+		n.job(1, job.Step{Lasting: true})
+		return n
+	}
+	first := second2(200, rows)
+	first.now += 10 * second
+	rows = first.s.Roster(first.now, false)
+	next := second2(300, rows)
+	if got := next.s.Unlisted(); len(got) != 1 || got[0] != on {
+		t.Errorf("runners to ask %v, want %s", got, on)
+	}
+	if got := ofKind(next.plan(), StartRun); len(got) != 0 {
+		t.Fatalf("orders %v while the runner may run the task", got)
+	}
+	next.now += 7 * second
+	next.report(other)
+	next.s.Confirm(next.now)
+	if got := ofKind(next.plan(), StartRun); len(got) != 1 {
+		t.Errorf("orders %v, want a start after the time that was left", got)
+	}
+
+	asked := second2(300, rows)
+	asked.s.GoneRunner(on, asked.now)
+	if got := ofKind(asked.plan(), StartRun); len(got) != 1 {
+		t.Errorf("orders %v, want a start once another runner answers at the address", got)
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -18,14 +19,19 @@
 	ID runner.ID `cbor:"1,keyasint"`
 	// Closed tells that the runner gets no new runs and no longer lease, so
 	// that only Tasks may run there, and not for longer than Left.
-	Closed bool          `cbor:"2,keyasint,omitempty"`
-	Left   time.Duration `cbor:"3,keyasint,omitempty"`
-	Tasks  []string      `cbor:"4,keyasint,omitempty"`
+	Closed bool `cbor:"2,keyasint,omitempty"`
+	// Left of a row that is not closed tells that its term has not reached the
+	// runner: any task may run there, but not for longer. Zero is no bound.
+	Left  time.Duration `cbor:"3,keyasint,omitempty"`
+	Tasks []string      `cbor:"4,keyasint,omitempty"`
+	// Addr lets a later term ask a runner that the store no longer lists.
+	Addr netip.AddrPort `cbor:"5,keyasint"`
 }
 
 // inherited is a row of an earlier term whose runner this term has not reached.
 type inherited struct {
 	closed bool
+	addr   netip.AddrPort
 	until  clock.Boot // nothing of an earlier term runs after this
 	tasks  []job.Task
 }
@@ -42,8 +48,8 @@
 // plan.
 func (s *State) Inherit(rows []RosterRow) {
 	for _, r := range rows {
-		in := &inherited{closed: r.Closed, until: s.began.Add(s.Limits.Takeover)}
-		if r.Closed {
+		in := &inherited{closed: r.Closed, addr: r.Addr, until: s.began.Add(s.Limits.Takeover)}
+		if r.Closed || r.Left > 0 {
 			in.until = s.began.Add(time.Duration(float64(r.Left) * slowClock))
 		}
 		for _, name := range r.Tasks {
@@ -57,10 +63,25 @@
 			in.tasks = append(in.tasks, t)
 		}
 		s.inherited[r.ID] = in
+		if s.nodes[r.ID] == nil && r.Addr.IsValid() {
+			s.nodes[r.ID] = newNode(runner.Info{ID: r.ID, Addr: r.Addr})
+		}
 	}
 	s.Rostered(rows)
 }
 
+// Unlisted returns the runners of the roster that the store does not list, so
+// that they are looked at.
+func (s *State) Unlisted() []runner.ID {
+	var ids []runner.ID
+	for id, n := range s.nodes {
+		if !n.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Roster returns the rows that the store must hold now. Runners without an open
 // row get no orders from here on, until one is stored.
 func (s *State) Roster(now clock.Boot, closing bool) []RosterRow {
@@ -70,7 +91,7 @@
 		if ok {
 			rows = append(rows, r)
 		}
-		if !ok || r.Closed {
+		if !ok || r.Closed || r.Left > 0 {
 			s.rostered[id] = false
 		}
 	}
@@ -85,9 +106,8 @@
 
 // row returns the row of a runner that this term has not reached.
 func (in *inherited) row(id runner.ID, now clock.Boot) RosterRow {
-	r := RosterRow{ID: id, Closed: in.closed}
+	r := RosterRow{ID: id, Closed: in.closed, Left: max(roundLeft(in.until.Sub(now)), leftStep), Addr: in.addr}
 	if in.closed {
-		r.Left = roundLeft(in.until.Sub(now))
 		for _, t := range in.tasks {
 			r.Tasks = append(r.Tasks, t.String())
 		}
@@ -103,7 +123,7 @@
 		return RosterRow{}, false
 	}
 	if !n.silent && !closing {
-		return RosterRow{ID: n.ID}, n.listed || len(n.runs) > 0
+		return RosterRow{ID: n.ID, Addr: n.Addr}, n.listed || len(n.runs) > 0
 	}
 	if len(n.runs) == 0 {
 		return RosterRow{}, false
@@ -112,7 +132,7 @@
 	if closing {
 		left = s.Limits.Hold
 	}
-	r := RosterRow{ID: n.ID, Closed: true, Left: roundLeft(left)}
+	r := RosterRow{ID: n.ID, Closed: true, Left: roundLeft(left), Addr: n.Addr}
 	for _, x := range runsOf(n) {
 		r.Tasks = append(r.Tasks, x.task.name.String())
 	}
@@ -127,7 +147,7 @@
 func (s *State) Rostered(rows []RosterRow) {
 	clear(s.rostered)
 	for _, r := range rows {
-		s.rostered[r.ID] = !r.Closed
+		s.rostered[r.ID] = !r.Closed && r.Left == 0
 	}
 }
 
