--- a/cmd/gypsumtrestle/client.go
+++ b/cmd/gypsumtrestle/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/totals"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
@@ -31,11 +31,11 @@
 }
 
 // store returns the client of the platform, or nil without a setting.
-func (a *access) store() *platform.Client {
+func (a *access) store() *etcd.Client {
 	if a.Platform == nil {
 		return nil
 	}
-	return &platform.Client{URL: a.Platform}
+	return &etcd.Client{URL: a.Platform}
 }
 
 func (a *access) need() error {
@@ -54,14 +54,14 @@
 }
 
 // workers counts the platform's worker hosts by zone.
-func workers(ctx context.Context, c *platform.Client) (map[string]int, error) {
+func workers(ctx context.Context, c *etcd.Client) (map[string]int, error) {
 	hosts, err := c.Hosts(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read host list")
 	}
 	n := make(map[string]int)
 	for i := range hosts {
-		if hosts[i].Role == "worker" && hosts[i].State != platform.Gone {
+		if hosts[i].Role == "worker" && hosts[i].State != etcd.Gone {
 			n[hosts[i].Zone]++
 		}
 	}
@@ -101,7 +101,7 @@
 	if c.Platform != nil {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		if hosts, err = workers(ctx, &platform.Client{URL: c.Platform}); err != nil {
+		if hosts, err = workers(ctx, &etcd.Client{URL: c.Platform}); err != nil {
 			return err
 		}
 	}
--- a/cmd/gypsumtrestle/demo.go
+++ b/cmd/gypsumtrestle/demo.go
@@ -14,8 +14,8 @@
 
 	"gypsumtrestle.example/gypsumtrestle/examples"
 	"gypsumtrestle.example/gypsumtrestle/internal/daemon"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/system"
 	"gypsumtrestle.example/gypsumtrestle/internal/totals"
 )
@@ -78,7 +78,7 @@
 		return err
 	}
 	d.printf("platform stand-in: %s", d.system.URL)
-	store := &platform.Client{URL: d.system.URL}
+	store := &etcd.Client{URL: d.system.URL}
 	if _, err := operator.Apply(ctx, store, time.Now(), operator.Edit{Text: examples.Brazos, Author: "demo"}); err != nil {
 		return err
 	}
@@ -203,7 +203,7 @@
 func (d *demo) totals(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, demoStop)
 	defer cancel()
-	rows, err := totals.Read(ctx, &platform.Client{URL: d.system.URL}, "", "")
+	rows, err := totals.Read(ctx, &etcd.Client{URL: d.system.URL}, "", "")
 	if err != nil {
 		return err
 	}
--- a/cmd/gypsumtrestle/process_linux_test.go
+++ b/cmd/gypsumtrestle/process_linux_test.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/examples"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	standin "gypsumtrestle.example/gypsumtrestle/internal/standin/platform"
 )
 
@@ -58,7 +58,7 @@
 	var rows []standin.Host
 	for _, z := range demoZones {
 		for i := range z.Workers {
-			rows = append(rows, standin.Host{Control: address(workers + len(rows)), Host: platform.Host{
+			rows = append(rows, standin.Host{Control: address(workers + len(rows)), Host: etcd.Host{
 				Name: fmt.Sprintf("%s-w%d", z.Name, i), Zone: z.Name, Rack: fmt.Sprintf("%s-r%d", z.Name, i/4),
 				Role: "worker", Addr: address(0).Addr(), Cores: 16, Memory: 32,
 			}})
--- a/cmd/gypsumtrestle/script_wave_test.go
+++ b/cmd/gypsumtrestle/script_wave_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/backend"
 )
 
@@ -62,14 +62,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o.stop = cancel
 	ts.Defer(func() { cancel(); o.done.Wait() })
-	client := &platform.Client{URL: u}
+	client := &etcd.Client{URL: u}
 	pairs, revision, err := client.List(ctx, "/gt/map/")
 	ts.Check(err)
 	for _, p := range pairs {
 		o.see(p, service, floor)
 	}
 	o.done.Go(func() {
-		err := client.Watch(ctx, "/gt/map/", revision, func(e platform.Event) { o.see(e.Pair, service, floor) })
+		err := client.Watch(ctx, "/gt/map/", revision, func(e etcd.Event) { o.see(e.Pair, service, floor) })
 		if ctx.Err() == nil {
 			o.fault("watch ended: %v", err)
 		}
@@ -125,7 +125,7 @@
 }
 
 // see checks one version of a map.
-func (o *observed) see(p platform.Pair, service string, floor int) {
+func (o *observed) see(p etcd.Pair, service string, floor int) {
 	m := new(fleet.Map)
 	if err := json.Unmarshal(p.Value, m); err != nil {
 		o.fault("map %s: %v", p.Key, err)
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -10,8 +10,8 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/backend"
 	"gypsumtrestle.example/gypsumtrestle/internal/claim/home"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer/message"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 const (
@@ -32,7 +32,7 @@
 	// Self is the incarnation of this daemon.
 	Self   string
 	Mesh   Sender
-	Store  platform.Store
+	Store  etcd.Store
 	Logger log.Logger
 
 	once  sync.Once
--- a/internal/claim/claimer_test.go
+++ b/internal/claim/claimer_test.go
@@ -12,13 +12,13 @@
 	"github.com/pkg/errors"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/backend"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer/message"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 // store is a key-value service of which claims use two calls.
 type store struct {
-	platform.Store
+	etcd.Store
 	mu    sync.Mutex
 	pairs map[string]string
 	times []time.Time // of transactions
@@ -29,18 +29,18 @@
 
 func (s *store) Grant(context.Context, int64) (int64, error) { return 7, nil }
 
-func (s *store) Do(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (s *store) Do(_ context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.times = append(s.times, time.Now())
 	s.keys = max(s.keys, len(t.Puts))
 	if s.fail != nil {
-		return platform.TxnResult{}, s.fail
+		return etcd.TxnResult{}, s.fail
 	}
-	var r platform.TxnResult
+	var r etcd.TxnResult
 	for _, key := range t.Else {
 		if v, ok := s.pairs[key]; ok {
-			r.Else = append(r.Else, platform.Pair{Key: key, Value: []byte(v)})
+			r.Else = append(r.Else, etcd.Pair{Key: key, Value: []byte(v)})
 		}
 	}
 	if r.Applied = len(r.Else) == 0; r.Applied {
@@ -146,11 +146,11 @@
 func TestLostResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cs, s := claimers(t, 1)
-		s.lose = &platform.UnknownError{Op: "txn", Err: errors.New("cut")}
+		s.lose = &etcd.UnknownError{Op: "txn", Err: errors.New("cut")}
 		if d := cs[0].Claim(t.Context(), Mint(time.Now(), "")); d.Verdict != Granted {
 			t.Errorf("after a lost response: %v", d.Verdict)
 		}
-		s.fail = &platform.UnknownError{Op: "txn", Err: errors.New("cut")}
+		s.fail = &etcd.UnknownError{Op: "txn", Err: errors.New("cut")}
 		if d := cs[0].Claim(t.Context(), Mint(time.Now(), "")); d.Verdict != Unknown {
 			t.Errorf("never confirmed: %v", d.Verdict)
 		}
--- a/internal/claim/home/finder.go
+++ b/internal/claim/home/finder.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 const (
@@ -59,7 +59,7 @@
 // comes second fails its condition and reads the record.
 type Finder struct {
 	self   string
-	store  platform.Store
+	store  etcd.Store
 	logger log.Logger
 	limit  *rate.Limiter
 	wake   chan struct{}
@@ -75,7 +75,7 @@
 }
 
 // New returns a Finder; self is the incarnation that it records.
-func New(self string, store platform.Store, logger log.Logger) *Finder {
+func New(self string, store etcd.Store, logger log.Logger) *Finder {
 	return &Finder{
 		self: self, store: store, logger: logger,
 		limit:   rate.NewLimiter(batchRate, 1),
@@ -192,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	res, err := f.create(ctx, batch)
-	var lost *platform.UnknownError
+	var lost *etcd.UnknownError
 	again := errors.As(err, &lost)
 	if err != nil {
 		f.logger.Log("msg", "homes are not recorded", "keys", len(batch), "again", again, "err", err)
@@ -218,7 +218,7 @@
 }
 
 // homeIn returns the home that a failed transaction read for a key.
-func homeIn(res platform.TxnResult, key string) string {
+func homeIn(res etcd.TxnResult, key string) string {
 	for _, p := range res.Else {
 		if p.Key == key {
 			return string(p.Value)
@@ -229,19 +229,19 @@
 
 // create records this daemon as the home of a batch, if none of its keys has a
 // record.
-func (f *Finder) create(ctx context.Context, batch []*lookup) (platform.TxnResult, error) {
+func (f *Finder) create(ctx context.Context, batch []*lookup) (etcd.TxnResult, error) {
 	if err := f.renewLease(ctx); err != nil {
-		return platform.TxnResult{}, err
+		return etcd.TxnResult{}, err
 	}
-	var t platform.Txn
+	var t etcd.Txn
 	for _, l := range batch {
 		key := l.key()
-		t.Conds = append(t.Conds, platform.Cond{Key: key})
-		t.Puts = append(t.Puts, platform.Put{Key: key, Value: []byte(f.self), Lease: f.lease})
+		t.Conds = append(t.Conds, etcd.Cond{Key: key})
+		t.Puts = append(t.Puts, etcd.Put{Key: key, Value: []byte(f.self), Lease: f.lease})
 		t.Else = append(t.Else, key)
 	}
 	res, err := f.store.Do(ctx, t)
-	var lost *platform.UnknownError
+	var lost *etcd.UnknownError
 	if err != nil && !errors.As(err, &lost) {
 		f.lease = 0 // the lease may be what the service refused
 	}
--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/pool"
 	"gypsumtrestle.example/gypsumtrestle/internal/route"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
@@ -69,12 +69,12 @@
 }
 
 // list is the platform's host list.
-func (s size) list() []platform.Host {
-	var out []platform.Host
+func (s size) list() []etcd.Host {
+	var out []etcd.Host
 	for _, m := range s.maps() {
 		for _, h := range m.Hosts {
-			out = append(out, platform.Host{
-				Name: h.Name, Zone: m.Zone, Rack: h.Rack, Role: "worker", State: platform.Live,
+			out = append(out, etcd.Host{
+				Name: h.Name, Zone: m.Zone, Rack: h.Rack, Role: "worker", State: etcd.Live,
 				Addr: h.Addr.Addr(), Cores: 16, Memory: 64, Accelerators: 2, Booted: h.Since,
 			})
 		}
@@ -144,7 +144,7 @@
 			b.Fatal(err)
 		}
 		for b.Loop() {
-			var hosts []platform.Host
+			var hosts []etcd.Host
 			if err := json.Unmarshal(src, &hosts); err != nil {
 				b.Fatal(err)
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,12 +16,12 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/caller"
 	"gypsumtrestle.example/gypsumtrestle/internal/claim"
 	"gypsumtrestle.example/gypsumtrestle/internal/dispatch"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/follow"
 	"gypsumtrestle.example/gypsumtrestle/internal/manager"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/pool"
 	"gypsumtrestle.example/gypsumtrestle/internal/route"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
@@ -45,7 +45,7 @@
 	callers, peers net.Listener
 
 	keeper    *state.Keeper
-	platform  *platform.Client
+	platform  *etcd.Client
 	client    *backend.Client
 	pools     *pool.Table
 	mesh      *peer.Mesh
@@ -118,7 +118,7 @@
 	d.hosts = &totals.Hosts{Counter: d.counter, Zone: d.self.Zone, Self: d.self.Incarnation, Clock: d.clock}
 	d.keeper.OnMap = d.hosts.Map
 	d.client = new(backend.Client)
-	d.platform = &platform.Client{
+	d.platform = &etcd.Client{
 		URL: d.cfg.Platform, Zone: d.self.Zone,
 		Budget: gateway.Budget{Writes: rate.Limit(d.cfg.Writes), Reads: rate.Limit(d.cfg.Reads)},
 	}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -16,9 +16,9 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	standin "gypsumtrestle.example/gypsumtrestle/internal/standin/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/system"
@@ -70,7 +70,7 @@
 	}
 	t.Cleanup(s.Close)
 	fx := &fixture{
-		bed: &bed{t, s, &platform.Client{URL: s.URL}}, runs: s.Platform.Runners,
+		bed: &bed{t, s, &etcd.Client{URL: s.URL}}, runs: s.Platform.Runners,
 		cut: make(map[string]bool), names: make(map[netip.AddrPort]string), conns: make(map[net.Conn][2]string),
 		active: make(map[netip.AddrPort]string), stops: make(chan struct{}),
 	}
@@ -239,7 +239,7 @@
 }
 
 // mark sets the state of a host in the platform's list.
-func (fx *fixture) mark(host string, s platform.HostState) {
+func (fx *fixture) mark(host string, s etcd.HostState) {
 	fx.Helper()
 	b, err := json.Marshal(standin.Mark{State: s})
 	if err != nil {
--- a/internal/daemon/force_test.go
+++ b/internal/daemon/force_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/system"
 )
@@ -31,7 +31,7 @@
 type bed struct {
 	*testing.T
 	*system.System
-	store *platform.Client
+	store *etcd.Client
 }
 
 func newBed(t *testing.T) *bed {
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	return &bed{t, s, &platform.Client{URL: s.URL}}
+	return &bed{t, s, &etcd.Client{URL: s.URL}}
 }
 
 // daemon starts a daemon. The returned function makes its planned stop.
@@ -190,7 +190,7 @@
 			<-d.Done()
 		}
 	}()
-	store := &platform.Client{URL: s.URL}
+	store := &etcd.Client{URL: s.URL}
 	text := []byte(strings.Replace(source, `["a", "b"]`, `["a", "b", "c"]`, 1))
 	var took []time.Duration
 	version := uint64(0)
--- a/internal/daemon/latency_test.go
+++ b/internal/daemon/latency_test.go
@@ -12,9 +12,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/system"
 )
 
@@ -49,7 +49,7 @@
 		cancel()
 		<-d.Done()
 	})
-	store := &platform.Client{URL: s.URL}
+	store := &etcd.Client{URL: s.URL}
 	if _, err := operator.Apply(ctx, store, time.Now(), operator.Edit{Text: []byte(oneZone), Author: "bench"}); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/daemon/move_test.go
+++ b/internal/daemon/move_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 	"gypsumtrestle.example/gypsumtrestle/internal/totals"
@@ -58,7 +58,7 @@
 			break
 		}
 	}
-	fx.mark(host, platform.Leaving)
+	fx.mark(host, etcd.Leaving)
 	for {
 		changed := cut.keeper.Changed()
 		if _, ok := cut.keeper.View().Leaving[host]; ok {
@@ -112,7 +112,7 @@
 // route by an older map, and one that waits after the proof that it is gone.
 func TestCutDaemonHoldsMove(t *testing.T) {
 	for name, proof := range map[string]func(*fixture){
-		"entry host gone": func(fx *fixture) { fx.mark("a2", platform.Gone) },
+		"entry host gone": func(fx *fixture) { fx.mark("a2", etcd.Gone) },
 		"newer daemon":    func(fx *fixture) { fx.daemon("a2") },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -6,11 +6,11 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
 )
 
 // register keeps this daemon's addresses in the platform's service. When a
@@ -35,7 +35,7 @@
 }
 
 // superseded reports whether a stored registration is a newer incarnation's.
-func (d *Daemon) superseded(p platform.Pair) bool {
+func (d *Daemon) superseded(p etcd.Pair) bool {
 	var other peer.Daemon
 	if err := json.Unmarshal(p.Value, &other); err != nil {
 		return false
--- a/internal/daemon/rest_test.go
+++ b/internal/daemon/rest_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/system"
 )
 
@@ -68,7 +68,7 @@
 			go func() { _ = d.Run(ctx) }()
 		}
 	}
-	if _, err := operator.Apply(ctx, &platform.Client{URL: sys.URL}, time.Now(), operator.Edit{Text: s.text(), Author: "bench"}); err != nil {
+	if _, err := operator.Apply(ctx, &etcd.Client{URL: sys.URL}, time.Now(), operator.Edit{Text: s.text(), Author: "bench"}); err != nil {
 		b.Fatal(err)
 	}
 	for _, d := range daemons {
--- a/internal/platform/client_test.go
+++ b/internal/etcd/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"bufio"
@@ -18,8 +18,8 @@
 	"go.uber.org/goleak"
 	"golang.org/x/time/rate"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	standin "gypsumtrestle.example/gypsumtrestle/internal/standin/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 )
@@ -40,34 +40,34 @@
 }
 func (runners) Stop(context.Context, netip.AddrPort, string) error { return nil }
 
-func serve(t testing.TB) (*standin.Server, *clock, *platform.Client) {
+func serve(t testing.TB) (*standin.Server, *clock, *etcd.Client) {
 	t.Helper()
 	ck := &clock{}
 	s := &standin.Server{Now: ck.Now, Runners: runners{}}
 	srv := httptest.NewServer(s.Handler([]standin.Host{
-		{Host: platform.Host{Name: "w1", Zone: "waco", Role: "worker"}, Control: netip.MustParseAddrPort("127.0.0.1:9")},
-		{Host: platform.Host{Name: "e1", Zone: "austin", Role: "entry"}},
+		{Host: etcd.Host{Name: "w1", Zone: "waco", Role: "worker"}, Control: netip.MustParseAddrPort("127.0.0.1:9")},
+		{Host: etcd.Host{Name: "e1", Zone: "austin", Role: "entry"}},
 	}))
 	t.Cleanup(srv.Close)
 	t.Cleanup(s.Close)
 	return s, ck, client(t, srv.URL)
 }
 
-func client(t testing.TB, base string) *platform.Client {
+func client(t testing.TB, base string) *etcd.Client {
 	t.Helper()
 	u, err := url.Parse(base)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &platform.Client{URL: u, Zone: "waco", Timeout: time.Minute, Budget: gateway.Budget{Writes: rate.Inf, Reads: rate.Inf}}
+	c := &etcd.Client{URL: u, Zone: "waco", Timeout: time.Minute, Budget: gateway.Budget{Writes: rate.Inf, Reads: rate.Inf}}
 	t.Cleanup(c.Close)
 	return c
 }
 
-func put(key, value string) platform.Put { return platform.Put{Key: key, Value: []byte(value)} }
+func put(key, value string) etcd.Put { return etcd.Put{Key: key, Value: []byte(value)} }
 
 // must applies a transaction that has to succeed.
-func must(t *testing.T, s platform.Store, x platform.Txn) int64 {
+func must(t *testing.T, s etcd.Store, x etcd.Txn) int64 {
 	t.Helper()
 	res, err := s.Do(t.Context(), x)
 	if err != nil || !res.Applied {
@@ -77,7 +77,7 @@
 }
 
 func isUnknown(err error) bool {
-	var u *platform.UnknownError
+	var u *etcd.UnknownError
 	return errors.As(err, &u)
 }
 
@@ -85,8 +85,8 @@
 func TestStore(t *testing.T) {
 	_, _, c := serve(t)
 	ctx := t.Context()
-	first := must(t, c, platform.Txn{Conds: []platform.Cond{{Key: "/a/1"}}, Puts: []platform.Put{put("/a/1", "x"), put("/a/2", "y")}})
-	second := must(t, c, platform.Txn{Puts: []platform.Put{put("/a/1", "z")}})
+	first := must(t, c, etcd.Txn{Conds: []etcd.Cond{{Key: "/a/1"}}, Puts: []etcd.Put{put("/a/1", "x"), put("/a/2", "y")}})
+	second := must(t, c, etcd.Txn{Puts: []etcd.Put{put("/a/1", "z")}})
 	p, err := c.Get(ctx, "/a/1")
 	if err != nil || string(p.Value) != "z" || p.Created != first || p.Modified != second {
 		t.Errorf("Get = %+v, %v", p, err)
@@ -94,21 +94,21 @@
 	if p, err := c.Get(ctx, "/a"); err != nil || p.Key != "" {
 		t.Errorf("Get of a missing key = %+v, %v", p, err)
 	}
-	for _, cond := range []platform.Cond{{Key: "/a/1"}, {Key: "/a/1", Modified: first}, {Key: "/a/1", Created: second}, {Key: "/a/1", Created: second, Modified: second}} {
-		res, err := c.Do(ctx, platform.Txn{Conds: []platform.Cond{cond}, Puts: []platform.Put{put("/a/1", "no")}, Else: []string{"/a/1", "/none"}})
+	for _, cond := range []etcd.Cond{{Key: "/a/1"}, {Key: "/a/1", Modified: first}, {Key: "/a/1", Created: second}, {Key: "/a/1", Created: second, Modified: second}} {
+		res, err := c.Do(ctx, etcd.Txn{Conds: []etcd.Cond{cond}, Puts: []etcd.Put{put("/a/1", "no")}, Else: []string{"/a/1", "/none"}})
 		if err != nil || res.Applied || len(res.Else) != 1 || string(res.Else[0].Value) != "z" {
 			t.Errorf("Do with %+v = %+v, %v", cond, res, err)
 		}
 	}
-	must(t, c, platform.Txn{Conds: []platform.Cond{{Key: "/a/1", Created: first, Modified: second}}, Puts: []platform.Put{{Key: "/a/1", Delete: true}}})
+	must(t, c, etcd.Txn{Conds: []etcd.Cond{{Key: "/a/1", Created: first, Modified: second}}, Puts: []etcd.Put{{Key: "/a/1", Delete: true}}})
 	ps, rev, err := c.List(ctx, "/a/")
 	if err != nil || len(ps) != 1 || ps[0].Key != "/a/2" || rev != second+1 {
 		t.Errorf("List = %+v, %d, %v", ps, rev, err)
 	}
-	big := platform.Put{Key: "/big", Value: make([]byte, platform.MaxValue)}
-	must(t, c, platform.Txn{Puts: []platform.Put{big}})
+	big := etcd.Put{Key: "/big", Value: make([]byte, etcd.MaxValue)}
+	must(t, c, etcd.Txn{Puts: []etcd.Put{big}})
 	big.Value = append(big.Value, 0)
-	if _, err := c.Do(ctx, platform.Txn{Puts: []platform.Put{big}}); err == nil || isUnknown(err) {
+	if _, err := c.Do(ctx, etcd.Txn{Puts: []etcd.Put{big}}); err == nil || isUnknown(err) {
 		t.Errorf("Do with a large value = %v", err)
 	}
 }
@@ -118,7 +118,7 @@
 func TestUnknownExactly(t *testing.T) {
 	s, _, c := serve(t)
 	ctx := t.Context()
-	must(t, c, platform.Txn{Puts: []platform.Put{put("/k", "0")}})
+	must(t, c, etcd.Txn{Puts: []etcd.Put{put("/k", "0")}})
 	for _, tc := range []struct {
 		name    string
 		faults  faults.Faults
@@ -131,7 +131,7 @@
 		{"other zone cut", faults.Faults{Cut: []string{"austin"}}, false, "other zone cut"},
 	} {
 		s.Faults.Set(tc.faults)
-		_, err := c.Do(ctx, platform.Txn{Puts: []platform.Put{put("/k", tc.name)}})
+		_, err := c.Do(ctx, etcd.Txn{Puts: []etcd.Put{put("/k", tc.name)}})
 		if isUnknown(err) != tc.unknown {
 			t.Errorf("%s: Do = %v", tc.name, err)
 		}
@@ -145,12 +145,12 @@
 		t.Errorf("a cut read = %v", err)
 	}
 	dead := client(t, "http://127.0.0.1:1")
-	if _, err := dead.Do(ctx, platform.Txn{Puts: []platform.Put{put("/k", "")}}); err == nil || isUnknown(err) {
+	if _, err := dead.Do(ctx, etcd.Txn{Puts: []etcd.Put{put("/k", "")}}); err == nil || isUnknown(err) {
 		t.Errorf("a write without a connection = %v", err)
 	}
 	slow := client(t, c.URL.String())
 	slow.Timeout = time.Nanosecond
-	if _, err := slow.Do(ctx, platform.Txn{Puts: []platform.Put{put("/k", "")}}); err == nil || isUnknown(err) {
+	if _, err := slow.Do(ctx, etcd.Txn{Puts: []etcd.Put{put("/k", "")}}); err == nil || isUnknown(err) {
 		t.Errorf("a write that never left = %v", err)
 	}
 }
@@ -180,14 +180,14 @@
 		}
 	}))
 	defer srv.Close()
-	for _, write := range []func(c *platform.Client) error{
-		func(c *platform.Client) error {
-			_, err := c.Do(t.Context(), platform.Txn{Puts: []platform.Put{put("/k", "v")}})
+	for _, write := range []func(c *etcd.Client) error{
+		func(c *etcd.Client) error {
+			_, err := c.Do(t.Context(), etcd.Txn{Puts: []etcd.Put{put("/k", "v")}})
 			return err
 		},
-		func(c *platform.Client) error { return c.StopTask(t.Context(), "t1") },
-		func(c *platform.Client) error { return c.KeepAlive(t.Context(), 1) },
-		func(c *platform.Client) error {
+		func(c *etcd.Client) error { return c.StopTask(t.Context(), "t1") },
+		func(c *etcd.Client) error { return c.KeepAlive(t.Context(), 1) },
+		func(c *etcd.Client) error {
 			_, err := c.StartTask(t.Context(), "t1", "w1", "ascent", 8)
 			return err
 		},
@@ -232,7 +232,7 @@
 			defer conn.Close() //nolint:errcheck // the test ends the connection
 			flush(t, rw, answer)
 		}))
-		if _, err := client(t, srv.URL).Do(t.Context(), platform.Txn{Puts: []platform.Put{put("/k", "v")}}); !isUnknown(err) {
+		if _, err := client(t, srv.URL).Do(t.Context(), etcd.Txn{Puts: []etcd.Put{put("/k", "v")}}); !isUnknown(err) {
 			t.Errorf("%q: Do = %v", answer, err)
 		}
 		// A stop has no answer to decode.
@@ -259,13 +259,13 @@
 // against a cut zone that still gets them.
 func TestWatchResumes(t *testing.T) {
 	s, _, c := serve(t)
-	must(t, c, platform.Txn{Puts: []platform.Put{put("/w/1", "")}})
+	must(t, c, etcd.Txn{Puts: []etcd.Put{put("/w/1", "")}})
 	var got []string
 	after := int64(0)
 	watch := func(until string) error {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		return c.Watch(ctx, "/w/", after, func(e platform.Event) {
+		return c.Watch(ctx, "/w/", after, func(e etcd.Event) {
 			got, after = append(got, e.Key), e.Modified
 			switch e.Key {
 			case until:
@@ -275,19 +275,19 @@
 			}
 		})
 	}
-	must(t, c, platform.Txn{Puts: []platform.Put{put("/w/2", ""), put("/w/3", "")}})
+	must(t, c, etcd.Txn{Puts: []etcd.Put{put("/w/2", ""), put("/w/3", "")}})
 	if err := watch("never"); err == nil || errors.Is(err, context.Canceled) {
 		t.Errorf("Watch of a cut zone = %v", err)
 	}
 	other := client(t, c.URL.String())
 	other.Zone = "austin"
-	must(t, other, platform.Txn{Puts: []platform.Put{put("/w/4", "")}})
-	must(t, other, platform.Txn{Puts: []platform.Put{{Key: "/w/1", Delete: true}}})
+	must(t, other, etcd.Txn{Puts: []etcd.Put{put("/w/4", "")}})
+	must(t, other, etcd.Txn{Puts: []etcd.Put{{Key: "/w/1", Delete: true}}})
 	s.Faults.Set(faults.Faults{})
 	if err := watch("/w/1"); !errors.Is(err, context.Canceled) {
 		t.Errorf("Watch = %v", err)
 	}
-	must(t, c, platform.Txn{Puts: []platform.Put{put("/w/5", "")}})
+	must(t, c, etcd.Txn{Puts: []etcd.Put{put("/w/5", "")}})
 	if err := watch("/w/5"); !errors.Is(err, context.Canceled) {
 		t.Errorf("Watch = %v", err)
 	}
@@ -300,7 +300,7 @@
 	_, _, c := serve(b)
 	b.Run("write", func(b *testing.B) {
 		for b.Loop() {
-			if _, err := c.Do(b.Context(), platform.Txn{Puts: []platform.Put{put("/k", "v")}}); err != nil {
+			if _, err := c.Do(b.Context(), etcd.Txn{Puts: []etcd.Put{put("/k", "v")}}); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -337,7 +337,7 @@
 	_ = res.Body.Close()
 	http.DefaultClient.CloseIdleConnections()
 	changed, err := c.Hosts(t.Context())
-	if err != nil || changed[0].State != platform.Leaving {
+	if err != nil || changed[0].State != etcd.Leaving {
 		t.Errorf("got %v, %v, want a leaving host", changed, err)
 	}
 }
--- a/internal/platform/doc.go
+++ b/internal/etcd/doc.go
@@ -1,4 +1,5 @@
-// Package platform is the client of the platform that runs the hosts: its
+// Package etcd is the client of a platform that speaks the etcd v3 form, for the
+// request path of the product's own interface: its
 // key-value service, its host list and its tasks.
 //
 // # Failure
@@ -6,4 +7,4 @@
 // The service has outages, and its responses can be lost after a write took
 // effect. Such a call returns an *UnknownError; the writer reads again until
 // it knows. The client never re-sends a write by itself.
-package platform
+package etcd
--- a/internal/platform/errors.go
+++ b/internal/etcd/errors.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"fmt"
--- a/internal/platform/hostlist.go
+++ b/internal/etcd/hostlist.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 )
 
 // hostList is the list as it was last read, with its entity tag.
--- a/internal/platform/lease/example_test.go
+++ b/internal/etcd/lease/example_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/kv"
 )
 
@@ -13,9 +13,9 @@
 func ExampleSettle_Do() {
 	store := &kv.Store{}
 	for _, author := range []string{"ana", "bor"} {
-		res, err := lease.Settle{Store: store}.Do(context.Background(), platform.Txn{
-			Conds: []platform.Cond{{Key: "/gt/text"}},
-			Puts:  []platform.Put{{Key: "/gt/text", Value: []byte("1 by " + author)}},
+		res, err := lease.Settle{Store: store}.Do(context.Background(), etcd.Txn{
+			Conds: []etcd.Cond{{Key: "/gt/text"}},
+			Puts:  []etcd.Put{{Key: "/gt/text", Value: []byte("1 by " + author)}},
 		})
 		if err != nil {
 			fmt.Println(err)
--- a/internal/platform/lease/keeper.go
+++ b/internal/etcd/lease/keeper.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // releaseTimeout bounds the revocation of a lease at shutdown.
@@ -33,13 +33,13 @@
 
 // keeper keeps one key under a lease, for Register and Lock.
 type keeper struct {
-	store platform.Store
+	store etcd.Store
 	key   string
 	value []byte
 	ttl   time.Duration
 	log   log.Logger
 	// may returns why the key must not be written over its present pair.
-	may func(platform.Pair) error
+	may func(etcd.Pair) error
 	// set is told of every renewal, and of nil when the key is given up.
 	set func(*Held)
 }
@@ -94,12 +94,12 @@
 }
 
 // write puts the key under the lease if it is as it was read.
-func (k keeper) write(ctx context.Context, now platform.Pair, lease int64, deadline time.Time) (platform.TxnResult, error) {
+func (k keeper) write(ctx context.Context, now etcd.Pair, lease int64, deadline time.Time) (etcd.TxnResult, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	res, err := Settle{Store: k.store}.Do(ctx, platform.Txn{
-		Conds: []platform.Cond{{Key: k.key, Modified: now.Modified}},
-		Puts:  []platform.Put{{Key: k.key, Value: k.value, Lease: lease}},
+	res, err := Settle{Store: k.store}.Do(ctx, etcd.Txn{
+		Conds: []etcd.Cond{{Key: k.key, Modified: now.Modified}},
+		Puts:  []etcd.Put{{Key: k.key, Value: k.value, Lease: lease}},
 	})
 	if err == nil && !res.Applied {
 		err = errTaken
@@ -120,7 +120,7 @@
 		deadline := time.Now().Add(k.ttl)
 		err := k.renew(ctx, lease)
 		switch {
-		case errors.Is(err, platform.ErrNoLease):
+		case errors.Is(err, etcd.ErrNoLease):
 			return err
 		case err != nil:
 			k.log.Log("part", "platform", "msg", "renewal failed", "key", k.key, "err", err)
@@ -150,14 +150,14 @@
 	if err != nil || at < revision {
 		return false
 	}
-	return !slices.ContainsFunc(pairs, func(p platform.Pair) bool { return p.Key == k.key && p.Modified == revision })
+	return !slices.ContainsFunc(pairs, func(p etcd.Pair) bool { return p.Key == k.key && p.Modified == revision })
 }
 
 // release revokes a lease, also after ctx has ended.
 func (k keeper) release(ctx context.Context, lease int64) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	if err := k.store.Revoke(ctx, lease); err != nil && !errors.Is(err, platform.ErrNoLease) {
+	if err := k.store.Revoke(ctx, lease); err != nil && !errors.Is(err, etcd.ErrNoLease) {
 		k.log.Log("part", "platform", "msg", "lease is left to lapse", "key", k.key, "err", err)
 	}
 }
--- a/internal/platform/lease/lock.go
+++ b/internal/etcd/lease/lock.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // DefaultLockTTL is the lease of a lock.
@@ -18,7 +18,7 @@
 // Held of the past: writes that only the holder may make also compare the
 // key's Created.
 type Lock struct {
-	Store platform.Store
+	Store etcd.Store
 	Key   string
 	// Value must not change while Run runs.
 	Value []byte
@@ -47,7 +47,7 @@
 	return *h, true
 }
 
-func (l *Lock) may(p platform.Pair) error {
+func (l *Lock) may(p etcd.Pair) error {
 	if p.Key != "" {
 		return errTaken
 	}
--- a/internal/platform/lease/lock_test.go
+++ b/internal/etcd/lease/lock_test.go
@@ -8,15 +8,15 @@
 	"testing/synctest"
 	"time"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/kv"
 )
 
 // gated is a store whose calls fail while it is down, wait while its process
 // is paused, and whose reads are answered from the first state while old.
 type gated struct {
-	platform.Store
+	etcd.Store
 	down, paused, old atomic.Bool
 }
 
@@ -32,17 +32,17 @@
 	return nil
 }
 
-func (g *gated) Get(ctx context.Context, key string) (platform.Pair, error) {
+func (g *gated) Get(ctx context.Context, key string) (etcd.Pair, error) {
 	if err := g.pass(); err != nil {
-		return platform.Pair{}, err
+		return etcd.Pair{}, err
 	}
 	if g.old.Load() {
-		return platform.Pair{}, nil
+		return etcd.Pair{}, nil
 	}
 	return g.Store.Get(ctx, key)
 }
 
-func (g *gated) List(ctx context.Context, prefix string) ([]platform.Pair, int64, error) {
+func (g *gated) List(ctx context.Context, prefix string) ([]etcd.Pair, int64, error) {
 	if err := g.pass(); err != nil {
 		return nil, 0, err
 	}
@@ -52,9 +52,9 @@
 	return g.Store.List(ctx, prefix)
 }
 
-func (g *gated) Do(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (g *gated) Do(ctx context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	if err := g.pass(); err != nil {
-		return platform.TxnResult{}, err
+		return etcd.TxnResult{}, err
 	}
 	return g.Store.Do(ctx, t)
 }
@@ -124,9 +124,9 @@
 		if holder, _ := step(time.Minute); holder != 1 {
 			t.Errorf("holder %d after the pause", holder)
 		}
-		res, err := store.Do(ctx, platform.Txn{
-			Conds: []platform.Cond{{Key: "/gt/manager/waco", Created: before.Created}},
-			Puts:  []platform.Put{{Key: "/gt/map/waco", Value: []byte("old")}},
+		res, err := store.Do(ctx, etcd.Txn{
+			Conds: []etcd.Cond{{Key: "/gt/manager/waco", Created: before.Created}},
+			Puts:  []etcd.Put{{Key: "/gt/map/waco", Value: []byte("old")}},
 		})
 		if err != nil || res.Applied {
 			t.Errorf("the write of the first holder = %+v, %v", res, err)
@@ -161,7 +161,7 @@
 			}
 		}
 		g.old.Store(false)
-		if _, err := store.Do(ctx, platform.Txn{Puts: []platform.Put{{Key: "/l", Delete: true}}}); err != nil {
+		if _, err := store.Do(ctx, etcd.Txn{Puts: []etcd.Put{{Key: "/l", Delete: true}}}); err != nil {
 			t.Error(err)
 		}
 		time.Sleep(5 * time.Second)
@@ -186,7 +186,7 @@
 			return string(p.Value)
 		}
 		run := func(value string) (stop func() error) {
-			r := &lease.Register{Store: g, Key: "/gt/daemon/waco/a", Value: []byte(value), Superseded: func(p platform.Pair) bool {
+			r := &lease.Register{Store: g, Key: "/gt/daemon/waco/a", Value: []byte(value), Superseded: func(p etcd.Pair) bool {
 				return string(p.Value) > value
 			}}
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/platform/lease/register.go
+++ b/internal/etcd/lease/register.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/log"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // DefaultRegisterTTL is the lease of a daemon's registration.
@@ -16,7 +16,7 @@
 // other writer's, writes it again when the lease has lapsed, and revokes the
 // lease at shutdown.
 type Register struct {
-	Store platform.Store
+	Store etcd.Store
 	Key   string
 	// Value must not change while Run runs.
 	Value []byte
@@ -24,7 +24,7 @@
 	TTL time.Duration
 	// Superseded reports that another writer's pair must stay, such as that
 	// of a newer incarnation; nil means that none must.
-	Superseded func(platform.Pair) bool
+	Superseded func(etcd.Pair) bool
 	Log        log.Logger
 }
 
@@ -37,7 +37,7 @@
 	return k.run(ctx)
 }
 
-func (r *Register) may(p platform.Pair) error {
+func (r *Register) may(p etcd.Pair) error {
 	if p.Key != "" && r.Superseded != nil && r.Superseded(p) {
 		return ErrSuperseded
 	}
--- a/internal/platform/lease/settle.go
+++ b/internal/etcd/lease/settle.go
@@ -9,12 +9,12 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // Settle makes compare-and-swap writes whose answers may be lost.
 type Settle struct {
-	Store platform.Store
+	Store etcd.Store
 	// Pause is the mean pause between two attempts; zero means 200 ms.
 	Pause time.Duration
 }
@@ -29,12 +29,12 @@
 // compares, and it cannot be answered from an older state as a plain read can.
 //
 // Else of the result ends with the present pair of the key, if any.
-func (s Settle) Do(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
-	i := slices.IndexFunc(t.Conds, func(d platform.Cond) bool {
+func (s Settle) Do(ctx context.Context, t etcd.Txn) (etcd.TxnResult, error) {
+	i := slices.IndexFunc(t.Conds, func(d etcd.Cond) bool {
 		return len(t.Puts) > 0 && d.Key == t.Puts[0].Key && (d.Modified != 0 || d.Created == 0)
 	})
 	if i < 0 || t.Puts[0].Delete {
-		return platform.TxnResult{}, errors.New("settle: the first put has no condition on its key's revision, or is a deletion")
+		return etcd.TxnResult{}, errors.New("settle: the first put has no condition on its key's revision, or is a deletion")
 	}
 	t.Else = append(slices.Clone(t.Else), t.Puts[0].Key)
 	for lost := false; ; {
@@ -42,7 +42,7 @@
 		switch {
 		case err == nil && lost && !res.Applied:
 			return s.find(ctx, t.Puts[0], t.Conds[i].Modified, res)
-		case err == nil, errors.Is(err, platform.ErrNoLease):
+		case err == nil, errors.Is(err, etcd.ErrNoLease):
 			// Without its lease, an earlier write no longer stands either.
 			return res, err
 		case !lost && !unknown(err):
@@ -50,7 +50,7 @@
 		}
 		lost = true
 		if pause(ctx, s.mean()) != nil {
-			return platform.TxnResult{}, &platform.UnknownError{Op: "settle", Key: t.Puts[0].Key, Err: err}
+			return etcd.TxnResult{}, &etcd.UnknownError{Op: "settle", Key: t.Puts[0].Key, Err: err}
 		}
 	}
 }
@@ -64,8 +64,8 @@
 
 // find decides whether an earlier attempt made the write, now that the
 // comparison fails. from is the revision that the write compared.
-func (s Settle) find(ctx context.Context, own platform.Put, from int64, res platform.TxnResult) (platform.TxnResult, error) {
-	var now platform.Pair
+func (s Settle) find(ctx context.Context, own etcd.Put, from int64, res etcd.TxnResult) (etcd.TxnResult, error) {
+	var now etcd.Pair
 	if n := len(res.Else); n > 0 && res.Else[n-1].Key == own.Key {
 		now = res.Else[n-1]
 	}
@@ -76,7 +76,7 @@
 	case now.Modified == from:
 		return res, nil // another condition failed
 	case made(own, now):
-		return platform.TxnResult{Applied: true, Revision: now.Modified}, nil
+		return etcd.TxnResult{Applied: true, Revision: now.Modified}, nil
 	}
 	// Another write stands. It replaced either the compared revision or ours,
 	// and the first change after the compared revision tells which.
@@ -84,24 +84,24 @@
 		first, err := s.firstChange(ctx, own.Key, from)
 		switch {
 		case err == nil && made(own, first):
-			return platform.TxnResult{Applied: true, Revision: first.Modified}, nil
+			return etcd.TxnResult{Applied: true, Revision: first.Modified}, nil
 		case err == nil:
 			return res, nil
-		case errors.Is(err, platform.ErrCompacted) || pause(ctx, s.mean()) != nil:
-			return platform.TxnResult{}, &platform.UnknownError{Op: "settle", Key: own.Key, Err: err}
+		case errors.Is(err, etcd.ErrCompacted) || pause(ctx, s.mean()) != nil:
+			return etcd.TxnResult{}, &etcd.UnknownError{Op: "settle", Key: own.Key, Err: err}
 		}
 	}
 }
 
-func made(own platform.Put, p platform.Pair) bool {
+func made(own etcd.Put, p etcd.Pair) bool {
 	return p.Key == own.Key && p.Lease == own.Lease && bytes.Equal(p.Value, own.Value)
 }
 
-func (s Settle) firstChange(ctx context.Context, key string, after int64) (platform.Pair, error) {
+func (s Settle) firstChange(ctx context.Context, key string, after int64) (etcd.Pair, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var first platform.Pair
-	err := s.Store.Watch(ctx, key, after, func(e platform.Event) {
+	var first etcd.Pair
+	err := s.Store.Watch(ctx, key, after, func(e etcd.Event) {
 		if first.Key == "" && e.Key == key {
 			first = e.Pair
 			cancel()
@@ -114,7 +114,7 @@
 }
 
 func unknown(err error) bool {
-	var u *platform.UnknownError
+	var u *etcd.UnknownError
 	return errors.As(err, &u)
 }
 
--- a/internal/platform/settle_test.go
+++ b/internal/etcd/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,21 +10,21 @@
 	"testing"
 	"time"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 )
 
 // lossy loses the answer of its first transaction. It applies the transaction
 // if applies is set, and then runs meanwhile.
 type lossy struct {
-	platform.Store
+	etcd.Store
 	applies   bool
 	meanwhile func()
 	once      sync.Once
 }
 
-func (l *lossy) Do(ctx context.Context, t platform.Txn) (res platform.TxnResult, err error) {
+func (l *lossy) Do(ctx context.Context, t etcd.Txn) (res etcd.TxnResult, err error) {
 	first := false
 	l.once.Do(func() { first = true })
 	if !first {
@@ -38,7 +38,7 @@
 	if l.meanwhile != nil {
 		l.meanwhile()
 	}
-	return platform.TxnResult{}, &platform.UnknownError{Op: "write", Key: "/k", Err: errors.New("lost")}
+	return etcd.TxnResult{}, &etcd.UnknownError{Op: "write", Key: "/k", Err: errors.New("lost")}
 }
 
 // Guards against a writer that takes a lost answer for a failed write, or
@@ -57,25 +57,25 @@
 
 func testSettle(t *testing.T, create, applies bool, other string) {
 	s, _, c := serve(t)
-	lock := must(t, c, platform.Txn{Puts: []platform.Put{put("/lock", "")}})
+	lock := must(t, c, etcd.Txn{Puts: []etcd.Put{put("/lock", "")}})
 	rev := int64(0)
 	if !create {
-		rev = must(t, c, platform.Txn{Puts: []platform.Put{put("/k", "0")}})
+		rev = must(t, c, etcd.Txn{Puts: []etcd.Put{put("/k", "0")}})
 	}
 	l := &lossy{Store: c, applies: applies, meanwhile: func() {
 		switch other {
 		case "overwrites":
-			must(t, c, platform.Txn{Puts: []platform.Put{put("/k", "theirs")}})
+			must(t, c, etcd.Txn{Puts: []etcd.Put{put("/k", "theirs")}})
 		case "takes the lock":
-			must(t, c, platform.Txn{Puts: []platform.Put{put("/lock", "theirs")}})
+			must(t, c, etcd.Txn{Puts: []etcd.Put{put("/lock", "theirs")}})
 		case "stale":
 			s.Faults.Set(faults.Faults{Revision: lock})
 		}
 	}}
 	settle := lease.Settle{Store: l, Pause: time.Microsecond}
-	res, err := settle.Do(t.Context(), platform.Txn{
-		Conds: []platform.Cond{{Key: "/k", Modified: rev}, {Key: "/lock", Modified: lock}},
-		Puts:  []platform.Put{put("/k", "w1/1"), put("/k2", "")},
+	res, err := settle.Do(t.Context(), etcd.Txn{
+		Conds: []etcd.Cond{{Key: "/k", Modified: rev}, {Key: "/lock", Modified: lock}},
+		Puts:  []etcd.Put{put("/k", "w1/1"), put("/k2", "")},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -101,7 +101,7 @@
 	s.Faults.Set(faults.Faults{Lose: 1000})
 	ctx, cancel := context.WithCancel(t.Context())
 	l := &lossy{Store: c, applies: false, meanwhile: cancel}
-	x := platform.Txn{Conds: []platform.Cond{{Key: "/k"}}, Puts: []platform.Put{put("/k", "w1/1")}}
+	x := etcd.Txn{Conds: []etcd.Cond{{Key: "/k"}}, Puts: []etcd.Put{put("/k", "w1/1")}}
 	if _, err := (lease.Settle{Store: l}).Do(ctx, x); !isUnknown(err) {
 		t.Errorf("Do = %v", err)
 	}
@@ -116,7 +116,7 @@
 func TestCompareAndSwapRace(t *testing.T) {
 	const writers, writes = 4, 20
 	s, _, c := serve(t)
-	must(t, c, platform.Txn{Puts: []platform.Put{put("/n", "0 by nobody")}})
+	must(t, c, etcd.Txn{Puts: []etcd.Put{put("/n", "0 by nobody")}})
 	s.Faults.Set(faults.Faults{Lose: writers * writes / 2})
 	var wg sync.WaitGroup
 	for w := range writers {
@@ -132,9 +132,9 @@
 					t.Error(err)
 					return
 				}
-				res, err := lease.Settle{Store: c, Pause: time.Microsecond}.Do(t.Context(), platform.Txn{
-					Conds: []platform.Cond{{Key: "/n", Modified: p.Modified}},
-					Puts:  []platform.Put{put("/n", fmt.Sprintf("%d by %d/%d", n+1, w, i))},
+				res, err := lease.Settle{Store: c, Pause: time.Microsecond}.Do(t.Context(), etcd.Txn{
+					Conds: []etcd.Cond{{Key: "/n", Modified: p.Modified}},
+					Puts:  []etcd.Put{put("/n", fmt.Sprintf("%d by %d/%d", n+1, w, i))},
 				})
 				if err != nil {
 					t.Error(err)
--- a/internal/platform/tasks.go
+++ b/internal/etcd/tasks.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 )
 
 // TaskStart asks for a task.
--- a/internal/platform/watch.go
+++ b/internal/etcd/watch.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 )
 
 // Watch implements Store. The events of one revision reach f together or not
--- a/internal/platform/wire_test.go
+++ b/internal/etcd/wire_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 
 	"golang.org/x/time/rate"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 )
 
 const header = `"header":{"cluster_id":"12585971608760269493","member_id":"13847567121247652255","revision":"3","raft_term":"3"}`
@@ -22,54 +22,54 @@
 // Guards against a form that client and stand-in share and the gateway does
 // not have: the requests and answers are as etcd publishes them.
 func TestPublishedForm(t *testing.T) {
-	foo := platform.Pair{Key: "foo", Value: []byte("bar"), Created: 2, Modified: 3, Lease: 7587848390082254081}
+	foo := etcd.Pair{Key: "foo", Value: []byte("bar"), Created: 2, Modified: 3, Lease: 7587848390082254081}
 	for _, tc := range []struct {
 		path, request, answer string
-		call                  func(context.Context, *platform.Client) (any, error)
+		call                  func(context.Context, *etcd.Client) (any, error)
 		want                  any
 	}{
 		{
 			"/v3/kv/range", `{"key":"Zm9v"}`, `{` + header + `,"kvs":[` + published + `],"count":"1"}`,
-			func(ctx context.Context, c *platform.Client) (any, error) { return c.Get(ctx, "foo") }, foo,
+			func(ctx context.Context, c *etcd.Client) (any, error) { return c.Get(ctx, "foo") }, foo,
 		},
 		{
 			"/v3/kv/put", `{"key":"Zm9v","value":"YmFy","lease":"7587848390082254081"}`, `{` + header + `}`,
-			func(ctx context.Context, c *platform.Client) (any, error) {
-				return c.Do(ctx, platform.Txn{Puts: []platform.Put{{Key: "foo", Value: foo.Value, Lease: foo.Lease}}})
+			func(ctx context.Context, c *etcd.Client) (any, error) {
+				return c.Do(ctx, etcd.Txn{Puts: []etcd.Put{{Key: "foo", Value: foo.Value, Lease: foo.Lease}}})
 			},
-			platform.TxnResult{Applied: true, Revision: 3},
+			etcd.TxnResult{Applied: true, Revision: 3},
 		},
 		{
 			"/v3/kv/txn",
 			`{"compare":[{"result":"EQUAL","target":"CREATE","key":"Zm9v","create_revision":"0"},{"result":"EQUAL","target":"MOD","key":"YQ==","mod_revision":"9"}],` +
 				`"success":[{"request_put":{"key":"Zm9v","value":"YmFy"}},{"request_delete_range":{"key":"YQ=="}}],"failure":[{"request_range":{"key":"Zm9v"}}]}`,
 			`{` + header + `,"responses":[{"response_range":{"header":{"revision":"3"},"kvs":[` + published + `],"count":"1"}}]}`,
-			func(ctx context.Context, c *platform.Client) (any, error) {
-				return c.Do(ctx, platform.Txn{
-					Conds: []platform.Cond{{Key: "foo"}, {Key: "a", Modified: 9}},
-					Puts:  []platform.Put{put("foo", "bar"), {Key: "a", Delete: true}},
+			func(ctx context.Context, c *etcd.Client) (any, error) {
+				return c.Do(ctx, etcd.Txn{
+					Conds: []etcd.Cond{{Key: "foo"}, {Key: "a", Modified: 9}},
+					Puts:  []etcd.Put{put("foo", "bar"), {Key: "a", Delete: true}},
 					Else:  []string{"foo"},
 				})
 			},
-			platform.TxnResult{Revision: 3, Else: []platform.Pair{foo}},
+			etcd.TxnResult{Revision: 3, Else: []etcd.Pair{foo}},
 		},
 		{
 			"/v3/lease/grant", `{"TTL":"6"}`, `{` + header + `,"ID":"7587848390082254081","TTL":"6"}`,
-			func(ctx context.Context, c *platform.Client) (any, error) { return c.Grant(ctx, 6) }, foo.Lease,
+			func(ctx context.Context, c *etcd.Client) (any, error) { return c.Grant(ctx, 6) }, foo.Lease,
 		},
 		{
 			"/v3/lease/keepalive", `{"ID":"7587848390082254081"}`, `{"result":{` + header + `,"ID":"7587848390082254081","TTL":"6"}}` + "\n",
-			func(ctx context.Context, c *platform.Client) (any, error) { return nil, c.KeepAlive(ctx, foo.Lease) }, nil,
+			func(ctx context.Context, c *etcd.Client) (any, error) { return nil, c.KeepAlive(ctx, foo.Lease) }, nil,
 		},
 		{
 			"/v3/watch", `{"create_request":{"key":"Zm9v","range_end":"Zm9w","start_revision":"3"}}`,
 			`{"result":{` + header + `,"created":true}}` + "\n" + `{"result":{` + header + `,"events":[{"kv":` + published + `},{"type":"DELETE","kv":{"key":"Zm9v","mod_revision":"4"}}]}}`,
-			func(ctx context.Context, c *platform.Client) (any, error) {
-				var got []platform.Event
-				_ = c.Watch(ctx, "foo", 2, func(e platform.Event) { got = append(got, e) })
+			func(ctx context.Context, c *etcd.Client) (any, error) {
+				var got []etcd.Event
+				_ = c.Watch(ctx, "foo", 2, func(e etcd.Event) { got = append(got, e) })
 				return got, nil
 			},
-			[]platform.Event{{Pair: foo}, {Pair: platform.Pair{Key: "foo", Modified: 4}, Deleted: true}},
+			[]etcd.Event{{Pair: foo}, {Pair: etcd.Pair{Key: "foo", Modified: 4}, Deleted: true}},
 		},
 	} {
 		var path, zone string
@@ -115,7 +115,7 @@
 	limited := client(t, c.URL.String())
 	limited.Budget = gateway.Budget{Writes: rate.Limit(1e-6), Reads: rate.Limit(1e-6)}
 	for range 20 {
-		_, err = limited.Do(t.Context(), platform.Txn{Puts: []platform.Put{put("/k", "")}})
+		_, err = limited.Do(t.Context(), etcd.Txn{Puts: []etcd.Put{put("/k", "")}})
 	}
 	if err == nil || isUnknown(err) {
 		t.Errorf("a write over the budget = %v", err)
--- a/internal/follow/budget.go
+++ b/internal/follow/budget.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-kit/log"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 	"gypsumtrestle.example/gypsumtrestle/internal/totals"
 )
@@ -18,7 +18,7 @@
 // Budgets follows, for the zone's manager, which services have used up their
 // availability budget of the day.
 type Budgets struct {
-	Store  platform.Store
+	Store  etcd.Store
 	Keeper *state.Keeper
 	// Holds reports whether this daemon manages its zone; others read nothing.
 	Holds  func() bool
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -13,10 +13,10 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 )
 
@@ -35,7 +35,7 @@
 
 // Follower offers what the platform stores to the Keeper and the mesh.
 type Follower struct {
-	Store  platform.Store
+	Store  etcd.Store
 	Keeper *state.Keeper
 	// Learn is told of the registered daemons.
 	Learn  func([]peer.Daemon)
@@ -91,7 +91,7 @@
 }
 
 // reset replaces what only the platform knows; texts and maps never fall back.
-func (f *Follower) reset(pairs []platform.Pair) {
+func (f *Follower) reset(pairs []etcd.Pair) {
 	f.mu.Lock()
 	f.daemons, f.managers = make(map[string]peer.Daemon), make(map[string]string)
 	f.mu.Unlock()
@@ -101,7 +101,7 @@
 	f.tell()
 }
 
-func (f *Follower) event(e platform.Event) {
+func (f *Follower) event(e etcd.Event) {
 	if !e.Deleted {
 		f.take(e.Pair)
 	} else {
@@ -124,14 +124,14 @@
 	f.Learn(ds)
 }
 
-func (f *Follower) take(p platform.Pair) {
+func (f *Follower) take(p etcd.Pair) {
 	if err := f.offer(p); err != nil {
 		f.Logger.Log("msg", "value is ignored", "key", p.Key, "err", err)
 	}
 }
 
 // offer hands on one value.
-func (f *Follower) offer(p platform.Pair) error {
+func (f *Follower) offer(p etcd.Pair) error {
 	switch {
 	case p.Key == operator.TextKey:
 		r, err := operator.DecodeRecord(p.Value)
--- a/internal/follow/leaving.go
+++ b/internal/follow/leaving.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/log"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 )
 
@@ -20,7 +20,7 @@
 
 // lister reads the platform's host list.
 type lister interface {
-	Hosts(ctx context.Context) ([]platform.Host, error)
+	Hosts(ctx context.Context) ([]etcd.Host, error)
 }
 
 // Leaving marks the hosts that the platform lists as leaving or gone.
@@ -55,11 +55,11 @@
 	marks := l.Keeper.View().Leaving
 	for i := range hosts {
 		h := &hosts[i]
-		if at, ok := marks[h.Name]; ok && h.State == platform.Live && now.Sub(at) > markLife {
+		if at, ok := marks[h.Name]; ok && h.State == etcd.Live && now.Sub(at) > markLife {
 			l.Keeper.ClearLeaving(h.Name)
 			l.Logger.Log("msg", "host takes new work again", "host", h.Name, "zone", h.Zone, "why", "host list says live")
 		}
-		if h.Role == "worker" && h.State != platform.Live && l.Keeper.MarkLeaving(h.Name, now) {
+		if h.Role == "worker" && h.State != etcd.Live && l.Keeper.MarkLeaving(h.Name, now) {
 			l.Logger.Log("msg", "host takes no new work", "host", h.Name, "zone", h.Zone, "why", "host list says "+string(h.State))
 		}
 	}
--- a/internal/manager/act.go
+++ b/internal/manager/act.go
@@ -10,9 +10,9 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
 )
 
 // renew extends the leases of the tasks that are to run.
@@ -85,7 +85,7 @@
 		}
 	case fleet.Maintenance:
 		l := m.seen.workers[h.Name]
-		if m.seen.rebooted[h.Name] == h.Changed || l == nil || l.State != platform.Live || !l.Booted.Equal(h.Booted) {
+		if m.seen.rebooted[h.Name] == h.Changed || l == nil || l.State != etcd.Live || !l.Booted.Equal(h.Booted) {
 			return nil
 		}
 		return func(ctx context.Context) error {
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/wave"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
@@ -112,9 +112,9 @@
 	for _, name := range slices.Sorted(maps.Keys(b.seen.workers)) {
 		l, h := b.seen.workers[name], b.m.Host(name)
 		switch {
-		case l.State == platform.Live && h == nil:
+		case l.State == etcd.Live && h == nil:
 			b.add(decision{fleet.HostNew{Host: name, Rack: l.Rack, Spare: b.spare, Maintained: l.Booted}, "host is new", "host list", name, ""})
-		case l.State == platform.Gone && h != nil && !h.Gone:
+		case l.State == etcd.Gone && h != nil && !h.Gone:
 			b.add(decision{fleet.HostGone{Host: name}, "host is gone", "host list", name, ""})
 		}
 	}
@@ -145,14 +145,14 @@
 			}
 		case fleet.Maintenance:
 			l := b.seen.workers[h.Name]
-			if l != nil && l.State == platform.Live && !l.Booted.Equal(h.Booted) {
+			if l != nil && l.State == etcd.Live && !l.Booted.Equal(h.Booted) {
 				b.add(decision{fleet.Maintained{Host: h.Name, Spare: b.spare}, "host maintained", "it rebooted", h.Name, ""})
 			}
 		}
 	}
 }
 
-func (b *batch) starting(h *fleet.Host, t platform.Task) {
+func (b *batch) starting(h *fleet.Host, t etcd.Task) {
 	switch {
 	case t.State == running && t.Addr.IsValid():
 		b.add(decision{fleet.Started{Host: h.Name, Task: h.Task, Addr: t.Addr}, "runner started", "task " + h.Task + " runs", h.Name, ""})
--- a/internal/manager/fake_test.go
+++ b/internal/manager/fake_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/manager"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 )
 
@@ -26,12 +26,12 @@
 	mu sync.Mutex
 
 	rev    int64
-	keys   map[string]platform.Pair
+	keys   map[string]etcd.Pair
 	leases map[int64]time.Time
 	lose   int // map writes that take effect without an answer
 
-	hosts    map[string]*platform.Host
-	tasks    map[string]*platform.Task
+	hosts    map[string]*etcd.Host
+	tasks    map[string]*etcd.Task
 	began    map[string]time.Time
 	bad      map[string]bool // workers that fail every start
 	slow     map[string]bool // workers on which starts never end
@@ -61,8 +61,8 @@
 
 func newWorld(t *testing.T) *world {
 	return &world{
-		t: t, keys: make(map[string]platform.Pair), leases: make(map[int64]time.Time), hosts: make(map[string]*platform.Host),
-		tasks: make(map[string]*platform.Task), began: make(map[string]time.Time), bad: make(map[string]bool), slow: make(map[string]bool),
+		t: t, keys: make(map[string]etcd.Pair), leases: make(map[int64]time.Time), hosts: make(map[string]*etcd.Host),
+		tasks: make(map[string]*etcd.Task), began: make(map[string]time.Time), bad: make(map[string]bool), slow: make(map[string]bool),
 	}
 }
 
@@ -132,8 +132,8 @@
 
 func (w *world) addHost(name, rack string, booted time.Time) {
 	defer w.lock()()
-	w.hosts[name] = &platform.Host{
-		Name: name, Zone: "a", Rack: rack, Role: "worker", State: platform.Live, Cores: 16, Memory: 32, Booted: booted,
+	w.hosts[name] = &etcd.Host{
+		Name: name, Zone: "a", Rack: rack, Role: "worker", State: etcd.Live, Cores: 16, Memory: 32, Booted: booted,
 		Addr: netip.AddrFrom4([4]byte{10, 0, byte(len(w.hosts) / 250), byte(1 + len(w.hosts)%250)}),
 	}
 }
@@ -222,18 +222,18 @@
 	return a.lock()
 }
 
-func (a access) Hosts(context.Context) ([]platform.Host, error) {
+func (a access) Hosts(context.Context) ([]etcd.Host, error) {
 	defer a.enter()()
-	var out []platform.Host
+	var out []etcd.Host
 	for _, h := range a.hosts {
 		out = append(out, *h)
 	}
 	return out, nil
 }
 
-func (a access) Tasks(context.Context, string) ([]platform.Task, error) {
+func (a access) Tasks(context.Context, string) ([]etcd.Task, error) {
 	defer a.enter()()
-	var out []platform.Task
+	var out []etcd.Task
 	for _, t := range a.tasks {
 		h := a.hosts[t.Host]
 		if t.State == "starting" && time.Since(a.began[t.ID]) >= time.Second && !a.slow[t.Host] {
@@ -247,11 +247,11 @@
 	return out, nil
 }
 
-func (a access) Usage(context.Context, string) ([]platform.Usage, error) { return nil, nil }
+func (a access) Usage(context.Context, string) ([]etcd.Usage, error) { return nil, nil }
 
 // StartTask checks that no daemon may still send the host requests of another
 // pool, and that no other task runs there.
-func (a access) StartTask(_ context.Context, id, host, service string, slots int) (platform.Task, error) {
+func (a access) StartTask(_ context.Context, id, host, service string, slots int) (etcd.Task, error) {
 	defer a.enter()()
 	if t := a.tasks[id]; t != nil {
 		return *t, nil
@@ -268,7 +268,7 @@
 	}
 	a.starts++
 	a.began[id] = time.Now()
-	a.tasks[id] = &platform.Task{ID: id, Host: host, Service: service, Slots: slots, State: "starting", Deadline: time.Now().Add(taskTTL)}
+	a.tasks[id] = &etcd.Task{ID: id, Host: host, Service: service, Slots: slots, State: "starting", Deadline: time.Now().Add(taskTTL)}
 	return *a.tasks[id], nil
 }
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -8,31 +8,31 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
 	"gypsumtrestle.example/gypsumtrestle/internal/state"
 )
 
 // Runners starts and stops the runners' tasks. StartTask and StopTask are
 // idempotent by identifier, and a stopped identifier does not start again.
 type Runners interface {
-	StartTask(ctx context.Context, id, host, service string, slots int) (platform.Task, error)
+	StartTask(ctx context.Context, id, host, service string, slots int) (etcd.Task, error)
 	StopTask(ctx context.Context, id string) error
 	RenewTasks(ctx context.Context, ids []string) error
 }
 
 // Machines lists hosts and reboots them.
 type Machines interface {
-	Hosts(ctx context.Context) ([]platform.Host, error)
+	Hosts(ctx context.Context) ([]etcd.Host, error)
 	Reboot(ctx context.Context, host string) error
 }
 
 // Reports lists a zone's tasks and the usage of its hosts.
 type Reports interface {
-	Tasks(ctx context.Context, zone string) ([]platform.Task, error)
-	Usage(ctx context.Context, zone string) ([]platform.Usage, error)
+	Tasks(ctx context.Context, zone string) ([]etcd.Task, error)
+	Usage(ctx context.Context, zone string) ([]etcd.Usage, error)
 }
 
 // Tasks is what the manager needs of the platform besides its Store.
@@ -45,7 +45,7 @@
 // Manager runs the manager's role for the zone of Self.
 type Manager struct {
 	Self   peer.Daemon
-	Store  platform.Store
+	Store  etcd.Store
 	Tasks  Tasks
 	Keeper *state.Keeper
 	Logger log.Logger
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 // run makes a zone of six workers and two daemons that have settled on two
@@ -63,7 +63,7 @@
 		w.change(func() {
 			for _, x := range w.tasks {
 				if x.Service == "web" {
-					w.hosts[x.Host].State = platform.Gone
+					w.hosts[x.Host].State = etcd.Gone
 					x.State = "failed"
 					break
 				}
@@ -109,7 +109,7 @@
 		"entry host gone": func(w *world, d *daemon) {
 			d.crash()
 			w.change(func() {
-				w.hosts["d3"] = &platform.Host{Name: "d3", Zone: "a", Role: "entry", State: platform.Gone}
+				w.hosts["d3"] = &etcd.Host{Name: "d3", Zone: "a", Role: "entry", State: etcd.Gone}
 			})
 		},
 	} {
--- a/internal/manager/observe.go
+++ b/internal/manager/observe.go
@@ -7,18 +7,18 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 // observed is what the platform reported, with the instants of the readings.
 type observed struct {
-	hosts   []platform.Host
-	workers map[string]*platform.Host // of this zone, by name
-	entries map[string]*platform.Host // of all zones, by name
-	tasks   map[string]platform.Task  // by identifier
-	usage   []platform.Usage
+	hosts   []etcd.Host
+	workers map[string]*etcd.Host // of this zone, by name
+	entries map[string]*etcd.Host // of all zones, by name
+	tasks   map[string]etcd.Task  // by identifier
+	usage   []etcd.Usage
 
 	hostsAt, tasksAt, usageAt, renewedAt time.Time
 
@@ -46,7 +46,7 @@
 		if err != nil {
 			return errors.Wrap(err, "list tasks")
 		}
-		m.seen.tasks = make(map[string]platform.Task, len(tasks))
+		m.seen.tasks = make(map[string]etcd.Task, len(tasks))
 		for _, t := range tasks {
 			m.seen.tasks[t.ID] = t
 		}
@@ -80,7 +80,7 @@
 	if m.seen.rebooted == nil {
 		m.seen.rebooted = make(map[string]uint64)
 	}
-	m.seen.workers, m.seen.entries = make(map[string]*platform.Host), make(map[string]*platform.Host)
+	m.seen.workers, m.seen.entries = make(map[string]*etcd.Host), make(map[string]*etcd.Host)
 	for i := range hosts {
 		switch h := &hosts[i]; {
 		case h.Role == "entry":
@@ -115,5 +115,5 @@
 // daemon has the name of its entry host.
 func (m *Manager) entryGone(name string) bool {
 	h := m.seen.entries[name]
-	return h != nil && h.State == platform.Gone
+	return h != nil && h.State == etcd.Gone
 }
--- a/internal/manager/store.go
+++ b/internal/manager/store.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 const textKey = "/gt/text"
@@ -30,7 +30,7 @@
 	if m.store.current && m.store.text >= m.Keeper.View().Plan {
 		return nil
 	}
-	var pairs []platform.Pair
+	var pairs []etcd.Pair
 	for _, key := range []string{m.mapKey(), textKey} {
 		p, err := m.Store.Get(ctx, key)
 		if err != nil {
@@ -45,7 +45,7 @@
 // accept takes the values of the map's and the text's key. If the store has an
 // older map than the one in force, it was restored: the next write continues
 // from the one in force, so that versions never fall.
-func (m *Manager) accept(pairs []platform.Pair) error {
+func (m *Manager) accept(pairs []etcd.Pair) error {
 	next := stored{m: &fleet.Map{Zone: m.Self.Zone}}
 	for _, p := range pairs {
 		switch {
@@ -91,13 +91,13 @@
 		return false, errors.Wrapf(err, "encode map %s", next.Zone)
 	}
 	m.store.current = false
-	res, err := m.Store.Do(ctx, platform.Txn{
-		Conds: []platform.Cond{
+	res, err := m.Store.Do(ctx, etcd.Txn{
+		Conds: []etcd.Cond{
 			{Key: m.key(), Created: m.created},
 			{Key: m.mapKey(), Modified: m.store.mapRev},
 			{Key: textKey, Modified: m.store.textRev},
 		},
-		Puts: []platform.Put{{Key: m.mapKey(), Value: value}},
+		Puts: []etcd.Put{{Key: m.mapKey(), Value: value}},
 		Else: []string{m.key(), m.mapKey(), textKey},
 	})
 	if err != nil {
--- a/internal/manager/store_fake_test.go
+++ b/internal/manager/store_fake_test.go
@@ -7,18 +7,18 @@
 	"strings"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
-func (a access) Get(_ context.Context, key string) (platform.Pair, error) {
+func (a access) Get(_ context.Context, key string) (etcd.Pair, error) {
 	defer a.enter()()
 	return a.keys[key], nil
 }
 
-func (a access) List(_ context.Context, prefix string) ([]platform.Pair, int64, error) {
+func (a access) List(_ context.Context, prefix string) ([]etcd.Pair, int64, error) {
 	defer a.enter()()
-	var out []platform.Pair
+	var out []etcd.Pair
 	for key, p := range a.keys {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, p)
@@ -27,12 +27,12 @@
 	return out, a.rev, nil
 }
 
-func (a access) Do(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (a access) Do(_ context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	defer a.enter()()
 	for _, c := range t.Conds {
 		p := a.keys[c.Key]
 		if c.Created != 0 && p.Created != c.Created || (c.Modified != 0 || c.Created == 0) && p.Modified != c.Modified {
-			var res platform.TxnResult
+			var res etcd.TxnResult
 			for _, key := range t.Else {
 				if p, ok := a.keys[key]; ok {
 					res.Else = append(res.Else, p)
@@ -43,18 +43,18 @@
 	}
 	for _, p := range t.Puts {
 		if _, ok := a.leases[p.Lease]; p.Lease != 0 && !ok {
-			return platform.TxnResult{}, platform.ErrNoLease
+			return etcd.TxnResult{}, etcd.ErrNoLease
 		}
 		a.put(p.Key, p.Value, p.Lease)
 		if p.Key == "/gt/map/a" {
 			a.wrote(p.Value)
 			if a.lose > 0 {
 				a.lose--
-				return platform.TxnResult{}, &platform.UnknownError{Op: "txn", Key: p.Key, Err: errors.New("response lost")}
+				return etcd.TxnResult{}, &etcd.UnknownError{Op: "txn", Key: p.Key, Err: errors.New("response lost")}
 			}
 		}
 	}
-	return platform.TxnResult{Applied: true, Revision: a.rev}, nil
+	return etcd.TxnResult{Applied: true, Revision: a.rev}, nil
 }
 
 // wrote checks a map that was written.
@@ -72,7 +72,7 @@
 	w.versions, w.written = append(w.versions, m.Version), m
 }
 
-func (a access) Watch(context.Context, string, int64, func(platform.Event)) error { return nil }
+func (a access) Watch(context.Context, string, int64, func(etcd.Event)) error { return nil }
 
 func (a access) Grant(_ context.Context, ttl int64) (int64, error) {
 	defer a.enter()()
@@ -84,7 +84,7 @@
 func (a access) KeepAlive(_ context.Context, lease int64) error {
 	defer a.enter()()
 	if end, ok := a.leases[lease]; !ok || !time.Now().Before(end) {
-		return platform.ErrNoLease
+		return etcd.ErrNoLease
 	}
 	a.leases[lease] = time.Now().Add(6 * time.Second)
 	return nil
--- a/internal/manager/term.go
+++ b/internal/manager/term.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/lease"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/lease"
 )
 
 // margin is kept free at the end of the lease, for the platform's clock to run
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -32,7 +32,7 @@
 // store is what Apply needs of the platform's service.
 type store interface {
 	getter
-	Do(ctx context.Context, t platform.Txn) (platform.TxnResult, error)
+	Do(ctx context.Context, t etcd.Txn) (etcd.TxnResult, error)
 }
 
 // Edit is a text to be put in force.
@@ -95,9 +95,9 @@
 	if len(value) > maxRecord {
 		return Record{}, text.Findings{{Line: 1, Column: 1, Message: fmt.Sprintf("text takes %d bytes when stored, the platform holds %d", len(value), maxRecord)}}
 	}
-	txn := platform.Txn{
-		Conds: []platform.Cond{{Key: TextKey, Modified: revision}},
-		Puts:  []platform.Put{{Key: TextKey, Value: value}},
+	txn := etcd.Txn{
+		Conds: []etcd.Cond{{Key: TextKey, Modified: revision}},
+		Puts:  []etcd.Put{{Key: TextKey, Value: value}},
 		Else:  []string{TextKey},
 	}
 	lost := false
@@ -106,7 +106,7 @@
 		if err == nil {
 			return settled(res, next)
 		}
-		var unknown *platform.UnknownError
+		var unknown *etcd.UnknownError
 		lost = lost || stderrors.As(err, &unknown)
 		if !lost {
 			return Record{}, errors.Wrapf(err, "version %d not applied", next.Version)
@@ -120,7 +120,7 @@
 }
 
 // settled tells from the transaction's result whether the record was stored.
-func settled(res platform.TxnResult, next Record) (Record, error) {
+func settled(res etcd.TxnResult, next Record) (Record, error) {
 	if res.Applied {
 		return next, nil
 	}
--- a/internal/operator/apply_test.go
+++ b/internal/operator/apply_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/operator"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -21,40 +21,40 @@
 // fakeStore keeps the text's key. fault is asked before and after each
 // write with the number of the write.
 type fakeStore struct {
-	pair  platform.Pair
+	pair  etcd.Pair
 	n     int
 	fault func(n int) (before, after error)
 	// between runs after a write took effect and before its response.
 	between func()
 }
 
-func (s *fakeStore) Get(context.Context, string) (platform.Pair, error) { return s.pair, nil }
+func (s *fakeStore) Get(context.Context, string) (etcd.Pair, error) { return s.pair, nil }
 
-func (s *fakeStore) Do(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (s *fakeStore) Do(_ context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	s.n++
 	var before, after error
 	if s.fault != nil {
 		before, after = s.fault(s.n)
 	}
 	if before != nil {
-		return platform.TxnResult{}, before
+		return etcd.TxnResult{}, before
 	}
 	if t.Conds[0].Modified != s.pair.Modified {
-		return platform.TxnResult{Else: []platform.Pair{s.pair}}, after
+		return etcd.TxnResult{Else: []etcd.Pair{s.pair}}, after
 	}
-	s.pair = platform.Pair{Key: operator.TextKey, Value: t.Puts[0].Value, Modified: s.pair.Modified + 1}
+	s.pair = etcd.Pair{Key: operator.TextKey, Value: t.Puts[0].Value, Modified: s.pair.Modified + 1}
 	if f := s.between; f != nil {
 		s.between = nil
 		f()
 	}
-	return platform.TxnResult{Applied: true}, after
+	return etcd.TxnResult{Applied: true}, after
 }
 
 func apply(s *fakeStore, author string, base uint64) (operator.Record, error) {
 	return operator.Apply(context.Background(), s, time.Now(), operator.Edit{Text: []byte(valid), Author: author, Base: base})
 }
 
-var unknown = &platform.UnknownError{Op: "txn", Err: errors.New("connection lost")}
+var unknown = &etcd.UnknownError{Op: "txn", Err: errors.New("connection lost")}
 
 // TestLostResponse guards against telling an operator that an edit failed, or
 // storing it twice, when only the response was lost.
--- a/internal/operator/force.go
+++ b/internal/operator/force.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 // DaemonPrefix is where the platform's service keeps the daemons'
@@ -27,7 +27,7 @@
 
 // lister is what finding the daemons needs of the platform's service.
 type lister interface {
-	List(ctx context.Context, prefix string) ([]platform.Pair, int64, error)
+	List(ctx context.Context, prefix string) ([]etcd.Pair, int64, error)
 }
 
 // Survey is what the daemons answered in one round.
--- a/internal/operator/record.go
+++ b/internal/operator/record.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // TextKey is where the platform's service keeps the operators' text.
@@ -51,7 +51,7 @@
 
 // getter is what reading the text needs of the platform's service.
 type getter interface {
-	Get(ctx context.Context, key string) (platform.Pair, error)
+	Get(ctx context.Context, key string) (etcd.Pair, error)
 }
 
 // ReadText reads the stored text and the revision of its key. Version zero
--- a/internal/standin/platform/faults/injector.go
+++ b/internal/standin/platform/faults/injector.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
 
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -11,19 +11,19 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
 
 // Host is a host of the seed file, with the address that starts its runners.
 type Host struct {
-	platform.Host
+	etcd.Host
 	Control netip.AddrPort `json:"control"`
 }
 
 // Mark is the body of PUT /hosts/{name}.
 type Mark struct {
-	State platform.HostState `json:"state"`
+	State etcd.HostState `json:"state"`
 }
 
 // hosts keeps the versions of the host list, so that it can be read late.
@@ -31,19 +31,19 @@
 	mu       sync.Mutex
 	rows     map[string]Host
 	versions []version
-	usage    []platform.Usage
+	usage    []etcd.Usage
 }
 
 type version struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []etcd.Host
 }
 
 func (h *hosts) seed(now time.Time, seed []Host) {
 	h.rows = make(map[string]Host)
 	for _, row := range seed {
 		if row.State == "" {
-			row.State = platform.Live
+			row.State = etcd.Live
 		}
 		if row.Booted.IsZero() {
 			row.Booted = now
@@ -55,7 +55,7 @@
 
 // record adds a version of the list.
 func (h *hosts) record(at time.Time) {
-	v := version{at: at, hosts: []platform.Host{}}
+	v := version{at: at, hosts: []etcd.Host{}}
 	for _, name := range slices.Sorted(maps.Keys(h.rows)) {
 		v.hosts = append(v.hosts, h.rows[name].Host)
 	}
@@ -64,7 +64,7 @@
 
 // at returns the newest list that is not younger than an instant, and its
 // number.
-func (h *hosts) at(t time.Time) ([]platform.Host, int) {
+func (h *hosts) at(t time.Time) ([]etcd.Host, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, v := range slices.Backward(h.versions) {
@@ -119,19 +119,19 @@
 	if err := rest.Decode(r, &m); err != nil {
 		return err
 	}
-	if !slices.Contains([]platform.HostState{platform.Live, platform.Leaving, platform.Gone}, m.State) {
+	if !slices.Contains([]etcd.HostState{etcd.Live, etcd.Leaving, etcd.Gone}, m.State) {
 		return errors.Wrapf(rest.ErrInvalid, "state %q", m.State)
 	}
 	now, name := s.now(), r.PathValue("name")
 	if err := s.hosts.change(name, now, func(h *Host) {
-		if h.State == platform.Gone && m.State != platform.Gone {
+		if h.State == etcd.Gone && m.State != etcd.Gone {
 			h.Booted = now
 		}
 		h.State = m.State
 	}); err != nil {
 		return err
 	}
-	if m.State == platform.Gone {
+	if m.State == etcd.Gone {
 		s.tasks.failAll(name, now)
 	}
 	return rest.Reply(w, m)
@@ -150,7 +150,7 @@
 }
 
 func (s *Server) setUsage(w http.ResponseWriter, r *http.Request) error {
-	var rows []platform.Usage
+	var rows []etcd.Usage
 	if err := rest.Decode(r, &rows); err != nil {
 		return err
 	}
@@ -166,7 +166,7 @@
 	at := s.now().Add(-s.Faults.Lag())
 	s.hosts.mu.Lock()
 	defer s.hosts.mu.Unlock()
-	rows := []platform.Usage{}
+	rows := []etcd.Usage{}
 	for _, u := range s.hosts.usage {
 		if s.hosts.rows[u.Host].Zone != r.FormValue("zone") {
 			continue
--- a/internal/standin/platform/kv/gateway.go
+++ b/internal/standin/platform/kv/gateway.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
@@ -50,7 +50,7 @@
 	return rest.Reply(w, rangeResponse(pairs, revision))
 }
 
-func rangeResponse(pairs []platform.Pair, revision int64) gateway.RangeResponse {
+func rangeResponse(pairs []etcd.Pair, revision int64) gateway.RangeResponse {
 	a := gateway.RangeResponse{Header: gateway.Header{Revision: revision}, Count: int64(len(pairs))}
 	for _, p := range pairs {
 		a.Kvs = append(a.Kvs, keyValue(p))
@@ -58,7 +58,7 @@
 	return a
 }
 
-func keyValue(p platform.Pair) gateway.KeyValue {
+func keyValue(p etcd.Pair) gateway.KeyValue {
 	return gateway.KeyValue{Key: []byte(p.Key), Value: p.Value, CreateRevision: p.Created, ModRevision: p.Modified, Lease: p.Lease}
 }
 
@@ -67,15 +67,15 @@
 	if err := rest.Decode(r, &q); err != nil {
 		return err
 	}
-	res, err := g.Store.Do(r.Context(), platform.Txn{Puts: []platform.Put{put(q)}})
+	res, err := g.Store.Do(r.Context(), etcd.Txn{Puts: []etcd.Put{put(q)}})
 	if err != nil {
 		return err
 	}
 	return rest.Reply(w, gateway.PutResponse{Header: gateway.Header{Revision: res.Revision}})
 }
 
-func put(q gateway.PutRequest) platform.Put {
-	return platform.Put{Key: string(q.Key), Value: q.Value, Lease: q.Lease}
+func put(q gateway.PutRequest) etcd.Put {
+	return etcd.Put{Key: string(q.Key), Value: q.Value, Lease: q.Lease}
 }
 
 func (g *Gateway) txn(w http.ResponseWriter, r *http.Request) error {
@@ -96,10 +96,10 @@
 
 // txn converts a transaction. It accepts what the client uses: comparisons
 // for equality, puts and deletes of single keys, and reads otherwise.
-func txn(q gateway.TxnRequest) (platform.Txn, error) {
-	var t platform.Txn
+func txn(q gateway.TxnRequest) (etcd.Txn, error) {
+	var t etcd.Txn
 	for _, c := range q.Compare {
-		d := platform.Cond{Key: string(c.Key)}
+		d := etcd.Cond{Key: string(c.Key)}
 		switch {
 		case c.Result != "" && c.Result != gateway.Equal:
 			return t, errors.Wrapf(rest.ErrInvalid, "result %s", c.Result)
@@ -117,7 +117,7 @@
 		case op.Put != nil && op.Delete == nil && op.Range == nil:
 			t.Puts = append(t.Puts, put(*op.Put))
 		case op.Delete != nil && op.Put == nil && op.Range == nil && len(op.Delete.RangeEnd) == 0:
-			t.Puts = append(t.Puts, platform.Put{Key: string(op.Delete.Key), Delete: true})
+			t.Puts = append(t.Puts, etcd.Put{Key: string(op.Delete.Key), Delete: true})
 		default:
 			return t, errors.Wrap(rest.ErrInvalid, "operation")
 		}
@@ -131,7 +131,7 @@
 	return t, nil
 }
 
-func txnResponse(q gateway.TxnRequest, res platform.TxnResult) gateway.TxnResponse {
+func txnResponse(q gateway.TxnRequest, res etcd.TxnResult) gateway.TxnResponse {
 	a := gateway.TxnResponse{Header: gateway.Header{Revision: res.Revision}, Succeeded: res.Applied}
 	if res.Applied {
 		for _, op := range q.Success {
@@ -144,7 +144,7 @@
 		return a
 	}
 	for _, op := range q.Failure {
-		var found []platform.Pair
+		var found []etcd.Pair
 		for _, p := range res.Else {
 			if p.Key == string(op.Range.Key) {
 				found = append(found, p)
@@ -213,10 +213,10 @@
 		return nil
 	}
 	sp := span{string(q.Create.Key), string(q.Create.RangeEnd)}
-	err = g.Store.watch(ctx, sp, q.Create.StartRevision-1, func(revision int64, events []platform.Event) error {
+	err = g.Store.watch(ctx, sp, q.Create.StartRevision-1, func(revision int64, events []etcd.Event) error {
 		return send(watchResponse(revision, events))
 	})
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, etcd.ErrCompacted) {
 		return send(gateway.WatchResponse{Canceled: true, CompactRevision: g.Store.oldest()})
 	}
 	if context.Cause(ctx) != nil && r.Context().Err() == nil {
@@ -225,7 +225,7 @@
 	return nil
 }
 
-func watchResponse(revision int64, events []platform.Event) gateway.WatchResponse {
+func watchResponse(revision int64, events []etcd.Event) gateway.WatchResponse {
 	m := gateway.WatchResponse{Header: gateway.Header{Revision: revision}}
 	for _, e := range events {
 		ev := gateway.Event{Kv: keyValue(e.Pair)}
--- a/internal/standin/platform/kv/history.go
+++ b/internal/standin/platform/kv/history.go
@@ -6,13 +6,13 @@
 	"slices"
 	"sort"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // change is an event with the pair that it replaced.
 type change struct {
-	platform.Event
-	old platform.Pair
+	etcd.Event
+	old etcd.Pair
 }
 
 // commit makes changes of one revision visible.
@@ -40,7 +40,7 @@
 }
 
 // past undoes the changes after a revision on a copy.
-func (s *Store) past(revision int64) map[string]platform.Pair {
+func (s *Store) past(revision int64) map[string]etcd.Pair {
 	m := maps.Clone(s.pairs)
 	for _, c := range slices.Backward(s.log[s.after(revision):]) {
 		if c.old.Modified == 0 {
@@ -52,9 +52,9 @@
 	return m
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64, f func(platform.Event)) error {
-	return s.watch(ctx, prefixed(prefix), after, func(_ int64, events []platform.Event) error {
+// Watch implements etcd.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, f func(etcd.Event)) error {
+	return s.watch(ctx, prefixed(prefix), after, func(_ int64, events []etcd.Event) error {
 		for _, e := range events {
 			f(e)
 		}
@@ -64,7 +64,7 @@
 
 // watch sends the changes after a revision in batches of whole revisions,
 // with the revision up to which they are complete.
-func (s *Store) watch(ctx context.Context, sp span, after int64, f func(int64, []platform.Event) error) error {
+func (s *Store) watch(ctx context.Context, sp span, after int64, f func(int64, []etcd.Event) error) error {
 	for {
 		events, revision, changed, err := s.since(sp, after)
 		if err != nil {
@@ -84,10 +84,10 @@
 	}
 }
 
-func (s *Store) since(sp span, after int64) (events []platform.Event, revision int64, changed <-chan struct{}, err error) {
+func (s *Store) since(sp span, after int64) (events []etcd.Event, revision int64, changed <-chan struct{}, err error) {
 	defer s.lock()()
 	if after < s.compacted {
-		return nil, s.compacted, nil, platform.ErrCompacted
+		return nil, s.compacted, nil, etcd.ErrCompacted
 	}
 	for _, c := range s.log[s.after(after):] {
 		if sp.has(c.Key) {
--- a/internal/standin/platform/kv/leases.go
+++ b/internal/standin/platform/kv/leases.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
 
@@ -23,7 +23,7 @@
 	keys     map[string]bool
 }
 
-// Grant implements platform.Store.
+// Grant implements etcd.Store.
 func (s *Store) Grant(_ context.Context, ttl int64) (int64, error) {
 	if ttl <= 0 || ttl > maxTTL {
 		return 0, errors.Wrapf(rest.ErrInvalid, "ttl of %d", ttl)
@@ -36,23 +36,23 @@
 	return l.id, nil
 }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements etcd.Store.
 func (s *Store) KeepAlive(_ context.Context, id int64) error {
 	defer s.lock()()
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrNoLease
+		return etcd.ErrNoLease
 	}
 	l.deadline = s.now().Add(l.ttl)
 	return nil
 }
 
-// Revoke implements platform.Store.
+// Revoke implements etcd.Store.
 func (s *Store) Revoke(_ context.Context, id int64) error {
 	defer s.lock()()
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrNoLease
+		return etcd.ErrNoLease
 	}
 	s.end(l)
 	return nil
@@ -80,7 +80,7 @@
 func (s *Store) end(l *lease) {
 	var changes []change
 	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
-		if c, ok := s.apply(platform.Put{Key: key, Delete: true}); ok {
+		if c, ok := s.apply(etcd.Put{Key: key, Delete: true}); ok {
 			changes = append(changes, c)
 		}
 	}
--- a/internal/standin/platform/kv/store.go
+++ b/internal/standin/platform/kv/store.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
 
@@ -19,7 +19,7 @@
 const maxOps = 128
 
 // Store is a key-value store in memory. The zero value is an empty store. It
-// can be used directly as a platform.Store, without faults.
+// can be used directly as a etcd.Store, without faults.
 type Store struct {
 	// Now is the clock of the leases; nil means time.Now.
 	Now func() time.Time
@@ -29,7 +29,7 @@
 
 	mu        sync.Mutex
 	revision  int64
-	pairs     map[string]platform.Pair
+	pairs     map[string]etcd.Pair
 	log       []change
 	compacted int64 // the last revision dropped from log
 	leases    map[int64]*lease
@@ -37,7 +37,7 @@
 	changed   chan struct{} // closed and replaced at every change
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ etcd.Store = (*Store)(nil)
 
 // span selects the keys in [key, end). An empty end selects key alone, and an
 // end of one zero byte has no bound.
@@ -60,7 +60,7 @@
 	s.mu.Lock()
 	if s.pairs == nil {
 		s.revision = 1
-		s.pairs = make(map[string]platform.Pair)
+		s.pairs = make(map[string]etcd.Pair)
 		s.leases = make(map[int64]*lease)
 		s.changed = make(chan struct{})
 	}
@@ -75,44 +75,44 @@
 	return time.Now()
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Pair, error) {
+// Get implements etcd.Store.
+func (s *Store) Get(_ context.Context, key string) (etcd.Pair, error) {
 	ps, _, err := s.read(span{key: key}, 0)
 	if err != nil || len(ps) == 0 {
-		return platform.Pair{}, err
+		return etcd.Pair{}, err
 	}
 	return ps[0], nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Pair, int64, error) {
+// List implements etcd.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]etcd.Pair, int64, error) {
 	return s.read(prefixed(prefix), 0)
 }
 
 // read returns the pairs as of a revision, or the newest ones if it is zero.
-func (s *Store) read(sp span, at int64) ([]platform.Pair, int64, error) {
+func (s *Store) read(sp span, at int64) ([]etcd.Pair, int64, error) {
 	defer s.lock()()
 	from := s.pairs
 	if at != 0 && at < s.revision {
 		if at < s.compacted {
-			return nil, 0, platform.ErrCompacted
+			return nil, 0, etcd.ErrCompacted
 		}
 		from = s.past(at)
 	}
-	var ps []platform.Pair
+	var ps []etcd.Pair
 	for key, p := range from {
 		if sp.has(key) {
 			ps = append(ps, p)
 		}
 	}
-	slices.SortFunc(ps, func(a, b platform.Pair) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(ps, func(a, b etcd.Pair) int { return cmp.Compare(a.Key, b.Key) })
 	return ps, s.revision, nil
 }
 
-// Do implements platform.Store.
-func (s *Store) Do(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+// Do implements etcd.Store.
+func (s *Store) Do(_ context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	if err := check(t); err != nil {
-		return platform.TxnResult{}, err
+		return etcd.TxnResult{}, err
 	}
 	defer s.lock()()
 	for _, d := range t.Conds {
@@ -122,7 +122,7 @@
 	}
 	for _, p := range t.Puts {
 		if !p.Delete && p.Lease != 0 && s.leases[p.Lease] == nil {
-			return platform.TxnResult{}, platform.ErrNoLease
+			return etcd.TxnResult{}, etcd.ErrNoLease
 		}
 	}
 	var changes []change
@@ -132,11 +132,11 @@
 		}
 	}
 	s.commit(changes)
-	return platform.TxnResult{Applied: true, Revision: s.revision}, nil
+	return etcd.TxnResult{Applied: true, Revision: s.revision}, nil
 }
 
 // check refuses what etcd refuses.
-func check(t platform.Txn) error {
+func check(t etcd.Txn) error {
 	if max(len(t.Conds), len(t.Puts), len(t.Else)) > maxOps {
 		return errors.Wrapf(rest.ErrInvalid, "more than %d operations", maxOps)
 	}
@@ -147,7 +147,7 @@
 			return errors.Wrap(rest.ErrInvalid, "key is not provided")
 		case seen[p.Key]:
 			return errors.Wrapf(rest.ErrInvalid, "duplicate key %s", p.Key)
-		case len(p.Value) > platform.MaxValue:
+		case len(p.Value) > etcd.MaxValue:
 			return errors.Wrapf(rest.ErrInvalid, "value of %s is too large", p.Key)
 		}
 		seen[p.Key] = true
@@ -155,15 +155,15 @@
 	return nil
 }
 
-func holds(d platform.Cond, p platform.Pair) bool {
+func holds(d etcd.Cond, p etcd.Pair) bool {
 	if (d.Created != 0 || d.Modified == 0) && p.Created != d.Created {
 		return false
 	}
 	return d.Modified == 0 || p.Modified == d.Modified
 }
 
-func (s *Store) otherwise(keys []string) platform.TxnResult {
-	res := platform.TxnResult{Revision: s.revision}
+func (s *Store) otherwise(keys []string) etcd.TxnResult {
+	res := etcd.TxnResult{Revision: s.revision}
 	for _, key := range keys {
 		if p, ok := s.pairs[key]; ok {
 			res.Else = append(res.Else, p)
@@ -173,7 +173,7 @@
 }
 
 // apply changes one key at the next revision.
-func (s *Store) apply(p platform.Put) (change, bool) {
+func (s *Store) apply(p etcd.Put) (change, bool) {
 	old, exists := s.pairs[p.Key]
 	if p.Delete && !exists {
 		return change{}, false
@@ -181,7 +181,7 @@
 	if l := s.leases[old.Lease]; l != nil {
 		delete(l.keys, p.Key)
 	}
-	c := change{old: old, Event: platform.Event{Deleted: p.Delete}}
+	c := change{old: old, Event: etcd.Event{Deleted: p.Delete}}
 	c.Key, c.Modified = p.Key, s.revision+1
 	if p.Delete {
 		delete(s.pairs, p.Key)
--- a/internal/standin/platform/rest/rest.go
+++ b/internal/standin/platform/rest/rest.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 )
 
 // Refusals of a request.
@@ -30,9 +30,9 @@
 	case err == nil:
 	case errors.Is(err, ErrInvalid):
 		Refuse(w, http.StatusBadRequest, gateway.InvalidArgument, err.Error())
-	case errors.Is(err, platform.ErrNoLease):
+	case errors.Is(err, etcd.ErrNoLease):
 		Refuse(w, http.StatusNotFound, gateway.NotFound, "etcdserver: requested lease not found")
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, etcd.ErrCompacted):
 		Refuse(w, http.StatusBadRequest, gateway.OutOfRange, "etcdserver: mvcc: required revision has been compacted")
 	case errors.Is(err, ErrAbsent):
 		Refuse(w, http.StatusNotFound, 0, err.Error())
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -20,8 +20,8 @@
 
 	"golang.org/x/time/rate"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform/gateway"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	standin "gypsumtrestle.example/gypsumtrestle/internal/standin/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/faults"
 )
@@ -57,7 +57,7 @@
 }
 
 type fixture struct {
-	*platform.Client
+	*etcd.Client
 	t       *testing.T
 	server  *standin.Server
 	control *control
@@ -72,8 +72,8 @@
 	addr := netip.MustParseAddrPort(backend.Listener.Addr().String())
 	f.server = &standin.Server{Now: f.now, TaskTTL: time.Minute}
 	srv := httptest.NewServer(f.server.Handler([]standin.Host{
-		{Host: platform.Host{Name: "w1", Zone: "waco", Role: "worker", Addr: addr.Addr(), Cores: 16}, Control: addr},
-		{Host: platform.Host{Name: "w2", Zone: "austin", Role: "worker"}, Control: addr},
+		{Host: etcd.Host{Name: "w1", Zone: "waco", Role: "worker", Addr: addr.Addr(), Cores: 16}, Control: addr},
+		{Host: etcd.Host{Name: "w2", Zone: "austin", Role: "worker"}, Control: addr},
 	}))
 	t.Cleanup(srv.Close)
 	t.Cleanup(f.server.Close)
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.Client = &platform.Client{URL: u, Zone: "waco", Timeout: time.Minute, Budget: gateway.Budget{Writes: rate.Inf, Reads: rate.Inf}}
+	f.Client = &etcd.Client{URL: u, Zone: "waco", Timeout: time.Minute, Budget: gateway.Budget{Writes: rate.Inf, Reads: rate.Inf}}
 	t.Cleanup(f.Close)
 	return f
 }
@@ -110,10 +110,10 @@
 	}
 }
 
-func (f *fixture) task(id string) platform.Task {
+func (f *fixture) task(id string) etcd.Task {
 	f.t.Helper()
 	tasks, err := f.Tasks(f.t.Context(), "waco")
-	i := slices.IndexFunc(tasks, func(t platform.Task) bool { return t.ID == id })
+	i := slices.IndexFunc(tasks, func(t etcd.Task) bool { return t.ID == id })
 	if err != nil || i < 0 {
 		f.t.Fatalf("Tasks = %+v, %v, want %s", tasks, err, id)
 	}
@@ -121,7 +121,7 @@
 }
 
 // await reads a task until it has a state.
-func (f *fixture) await(id, state string) platform.Task {
+func (f *fixture) await(id, state string) etcd.Task {
 	f.t.Helper()
 	for {
 		if t := f.task(id); t.State == state {
@@ -210,7 +210,7 @@
 // Guards against a host list that does not lag, or a reboot without trace.
 func TestHostList(t *testing.T) {
 	f := serve(t)
-	host := func() platform.Host {
+	host := func() etcd.Host {
 		t.Helper()
 		hosts, err := f.Hosts(t.Context())
 		if err != nil || len(hosts) != 2 {
@@ -223,11 +223,11 @@
 	f.advance(time.Minute)
 	f.put("hosts/w1", `{"state":"leaving"}`)
 	f.advance(9 * time.Second)
-	if h := host(); h.State != platform.Live || h.Cores != 16 || !h.Booted.Equal(booted) {
+	if h := host(); h.State != etcd.Live || h.Cores != 16 || !h.Booted.Equal(booted) {
 		t.Errorf("host %+v before the lag", h)
 	}
 	f.advance(time.Second)
-	if h := host(); h.State != platform.Leaving {
+	if h := host(); h.State != etcd.Leaving {
 		t.Errorf("state %s after the lag", h.State)
 	}
 	at := f.now()
@@ -257,14 +257,14 @@
 		}
 		cancel()
 	}()
-	if _, err := f.Do(ctx, platform.Txn{Puts: []platform.Put{{Key: "/k", Value: []byte("v")}}}); !isUnknown(err) {
+	if _, err := f.Do(ctx, etcd.Txn{Puts: []etcd.Put{{Key: "/k", Value: []byte("v")}}}); !isUnknown(err) {
 		t.Errorf("a frozen write = %v", err)
 	}
 	if p, err := f.Get(t.Context(), "/k"); err != nil || p.Key != "" {
 		t.Errorf("Get = %+v, %v", p, err)
 	}
 	f.put("faults", `{"delay":"1ms","refuse":true,"path":"/hosts"}`)
-	if err := f.Watch(t.Context(), "/k", 0, func(platform.Event) {
+	if err := f.Watch(t.Context(), "/k", 0, func(etcd.Event) {
 		f.server.Faults.Set(faults.Faults{Cut: []string{"waco"}})
 	}); err == nil {
 		t.Error("the watch of a cut zone goes on")
@@ -293,7 +293,7 @@
 		return id
 	}
 	write := func(key string, lease int64) error {
-		_, err := f.Do(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Lease: lease}}})
+		_, err := f.Do(ctx, etcd.Txn{Puts: []etcd.Put{{Key: key, Lease: lease}}})
 		return err
 	}
 	l1 := grant()
@@ -310,10 +310,10 @@
 		t.Error(err)
 	}
 	f.advance(time.Second)
-	if err := f.KeepAlive(ctx, l1); !errors.Is(err, platform.ErrNoLease) {
+	if err := f.KeepAlive(ctx, l1); !errors.Is(err, etcd.ErrNoLease) {
 		t.Errorf("KeepAlive of a lapsed lease = %v", err)
 	}
-	if err := write("/a", l1); !errors.Is(err, platform.ErrNoLease) || isUnknown(err) {
+	if err := write("/a", l1); !errors.Is(err, etcd.ErrNoLease) || isUnknown(err) {
 		t.Errorf("a write under a lapsed lease = %v", err)
 	}
 	if ps, _, err := f.List(ctx, "/"); err != nil || len(ps) != 1 || ps[0].Key != "/b" || ps[0].Lease != l2 {
@@ -325,7 +325,7 @@
 	var deleted []string
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if err := f.Watch(ctx, "/", 0, func(e platform.Event) {
+	if err := f.Watch(ctx, "/", 0, func(e etcd.Event) {
 		if e.Deleted {
 			deleted = append(deleted, e.Key)
 		}
@@ -338,6 +338,6 @@
 }
 
 func isUnknown(err error) bool {
-	var u *platform.UnknownError
+	var u *etcd.UnknownError
 	return errors.As(err, &u)
 }
--- a/internal/standin/platform/tasks.go
+++ b/internal/standin/platform/tasks.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/platform/rest"
 )
 
@@ -28,7 +28,7 @@
 // task is a task with the progress of its start and stop. A task that is
 // being stopped is listed as running until its runner has ended.
 type task struct {
-	platform.Task
+	etcd.Task
 	control     netip.AddrPort
 	zone        string
 	started     chan struct{} // closed when the start has ended
@@ -94,19 +94,19 @@
 func (s *Server) listTasks(w http.ResponseWriter, r *http.Request) error {
 	s.tasks.mu.Lock()
 	defer s.tasks.mu.Unlock()
-	rows := []platform.Task{}
+	rows := []etcd.Task{}
 	for _, t := range s.tasks.rows {
 		if t.zone == r.FormValue("zone") {
 			rows = append(rows, t.Task)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Task) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(rows, func(a, b etcd.Task) int { return cmp.Compare(a.ID, b.ID) })
 	return rest.Reply(w, rows)
 }
 
 // startTask adds a task and starts its runner in the background.
 func (s *Server) startTask(w http.ResponseWriter, r *http.Request) error {
-	var q platform.TaskStart
+	var q etcd.TaskStart
 	if err := rest.Decode(r, &q); err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	want := platform.Task{ID: r.PathValue("id"), Host: q.Host, Service: q.Service, Slots: q.Slots, State: starting}
+	want := etcd.Task{ID: r.PathValue("id"), Host: q.Host, Service: q.Service, Slots: q.Slots, State: starting}
 	t, err := s.addTask(host, want)
 	if err != nil {
 		return err
@@ -122,7 +122,7 @@
 	return rest.Reply(w, t)
 }
 
-func (s *Server) addTask(host Host, want platform.Task) (platform.Task, error) {
+func (s *Server) addTask(host Host, want etcd.Task) (etcd.Task, error) {
 	s.tasks.mu.Lock()
 	defer s.tasks.mu.Unlock()
 	if t, ok := s.tasks.rows[want.ID]; ok {
@@ -131,7 +131,7 @@
 		}
 		return t.Task, nil
 	}
-	if host.State == platform.Gone {
+	if host.State == etcd.Gone {
 		return want, errors.Wrapf(rest.ErrConflict, "host %s is gone", host.Name)
 	}
 	want.Deadline = s.now().Add(s.TaskTTL)
@@ -210,7 +210,7 @@
 }
 
 func (s *Server) renewTasks(w http.ResponseWriter, r *http.Request) error {
-	var q platform.TaskRenewal
+	var q etcd.TaskRenewal
 	if err := rest.Decode(r, &q); err != nil {
 		return err
 	}
@@ -232,7 +232,7 @@
 }
 
 func (s *Server) throttleTask(w http.ResponseWriter, r *http.Request) error {
-	var q platform.TaskThrottle
+	var q etcd.TaskThrottle
 	if err := rest.Decode(r, &q); err != nil {
 		return err
 	}
--- a/internal/standin/system/system.go
+++ b/internal/standin/system/system.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/backend"
 	standin "gypsumtrestle.example/gypsumtrestle/internal/standin/platform"
 )
@@ -73,13 +73,13 @@
 			// The address only identifies the host; no call goes to it.
 			control := netip.AddrPortFrom(loopback, uint16(len(r)+1))
 			r[control], s.Hosts[name] = h, h
-			rows = append(rows, standin.Host{Control: control, Host: platform.Host{
+			rows = append(rows, standin.Host{Control: control, Host: etcd.Host{
 				Name: name, Zone: z.Name, Rack: fmt.Sprintf("%s-r%d", z.Name, i/rackSize+1), Role: "worker",
 				Addr: loopback, Cores: 16, Memory: 32,
 			}})
 		}
 		for _, name := range z.Entries {
-			rows = append(rows, standin.Host{Host: platform.Host{
+			rows = append(rows, standin.Host{Host: etcd.Host{
 				Name: name, Zone: z.Name, Rack: z.Name + "-r0", Role: "entry", Addr: loopback, Cores: 2, Memory: 4,
 			}})
 		}
--- a/internal/totals/store.go
+++ b/internal/totals/store.go
@@ -9,7 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // Prefix is where the platform's service keeps the totals: a key for each day
@@ -29,7 +29,7 @@
 
 // store is what the Writer needs of the platform's service.
 type store interface {
-	Do(ctx context.Context, t platform.Txn) (platform.TxnResult, error)
+	Do(ctx context.Context, t etcd.Txn) (etcd.TxnResult, error)
 }
 
 // Writer writes one daemon's counts to the platform's service.
@@ -88,7 +88,7 @@
 		return errors.Wrapf(err, "totals of %s", day)
 	}
 	key := Prefix + string(day) + "/" + w.Incarnation
-	if _, err := w.Store.Do(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}}); err != nil {
+	if _, err := w.Store.Do(ctx, etcd.Txn{Puts: []etcd.Put{{Key: key, Value: value}}}); err != nil {
 		return errors.Wrapf(err, "totals of %s", day)
 	}
 	if w.written == nil {
--- a/internal/totals/table.go
+++ b/internal/totals/table.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 )
 
 // Row is one line of the table.
@@ -24,7 +24,7 @@
 
 // lister is what Read needs of the platform's service.
 type lister interface {
-	List(ctx context.Context, prefix string) ([]platform.Pair, int64, error)
+	List(ctx context.Context, prefix string) ([]etcd.Pair, int64, error)
 }
 
 // Read sums what all daemons stored for the days from first to last, both
--- a/internal/totals/totals_test.go
+++ b/internal/totals/totals_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/totals"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
@@ -23,22 +23,22 @@
 	writes int
 }
 
-func (s *fakeStore) Do(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (s *fakeStore) Do(_ context.Context, t etcd.Txn) (etcd.TxnResult, error) {
 	for _, p := range t.Puts {
 		s.writes++
 		s.kv[p.Key] = p.Value
 	}
 	if s.lose {
-		return platform.TxnResult{}, &platform.UnknownError{Op: "txn", Err: errors.New("cut")}
+		return etcd.TxnResult{}, &etcd.UnknownError{Op: "txn", Err: errors.New("cut")}
 	}
-	return platform.TxnResult{Applied: true}, nil
+	return etcd.TxnResult{Applied: true}, nil
 }
 
-func (s *fakeStore) List(_ context.Context, prefix string) ([]platform.Pair, int64, error) {
-	var out []platform.Pair
+func (s *fakeStore) List(_ context.Context, prefix string) ([]etcd.Pair, int64, error) {
+	var out []etcd.Pair
 	for k, v := range s.kv {
 		if strings.HasPrefix(k, prefix) {
-			out = append(out, platform.Pair{Key: k, Value: v})
+			out = append(out, etcd.Pair{Key: k, Value: v})
 		}
 	}
 	return out, 1, nil
--- a/internal/wave/grant.go
+++ b/internal/wave/grant.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -23,7 +23,7 @@
 func (p *planner) grant() {
 	var free []int
 	for i := range p.own.Hosts {
-		if p.state[i] == fleet.Free && p.listed(&p.own.Hosts[i], platform.Live) {
+		if p.state[i] == fleet.Free && p.listed(&p.own.Hosts[i], etcd.Live) {
 			free = append(free, i)
 		}
 	}
--- a/internal/wave/maintain.go
+++ b/internal/wave/maintain.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -17,7 +17,7 @@
 	for i := range p.own.Hosts {
 		h := &p.own.Hosts[i]
 		q := p.pool(h.Pool)
-		if h.State != fleet.Draining || q == nil || h.Gone || !h.Addr.IsValid() || !p.listed(h, platform.Live) ||
+		if h.State != fleet.Draining || q == nil || h.Gone || !h.Addr.IsValid() || !p.listed(h, etcd.Live) ||
 			q.serving >= q.share.Runners && q.total >= q.Floor {
 			continue
 		}
@@ -49,7 +49,7 @@
 func (p *planner) leaving() {
 	for i := range p.own.Hosts {
 		h := &p.own.Hosts[i]
-		if !p.listed(h, platform.Leaving) {
+		if !p.listed(h, etcd.Leaving) {
 			continue
 		}
 		switch p.state[i] {
--- a/internal/wave/plan.go
+++ b/internal/wave/plan.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -16,8 +16,8 @@
 	// Maps holds the maps of all zones; those of other zones may be old.
 	Maps map[string]*fleet.Map
 	// Hosts is the platform's list; only workers of Zone matter.
-	Hosts []platform.Host
-	Usage []platform.Usage
+	Hosts []etcd.Host
+	Usage []etcd.Usage
 	// Spent names the services that have used up today's availability budget.
 	Spent map[string]bool
 	// Reported holds the findings that were reported before, by subject.
--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -42,7 +42,7 @@
 	index   map[string]int // into pools
 	spare   int            // index of the spare pool, or -1
 	racks   map[string]int // index into pool.racks
-	hosts   map[string]*platform.Host
+	hosts   map[string]*etcd.Host
 	zone    int             // index of Zone in Text.Zones, or -1
 	out     int             // hosts that maintenance holds
 	spent   map[string]bool // services without a budget for planned work
@@ -52,7 +52,7 @@
 
 func newPlanner(in *Input) *planner {
 	p := &planner{Input: in, own: in.Maps[in.Zone], spare: -1, zone: slices.Index(in.Text.Zones, in.Zone)}
-	p.hosts = make(map[string]*platform.Host, len(p.own.Hosts))
+	p.hosts = make(map[string]*etcd.Host, len(p.own.Hosts))
 	for i := range in.Hosts {
 		if h := &in.Hosts[i]; h.Zone == in.Zone && h.Role == "worker" {
 			p.hosts[h.Name] = h
@@ -227,7 +227,7 @@
 	return p.hosts[p.own.Hosts[i].Name] != nil && p.out < p.Text.Maintenance.Hold
 }
 
-func (p *planner) listed(h *fleet.Host, s platform.HostState) bool {
+func (p *planner) listed(h *fleet.Host, s etcd.HostState) bool {
 	l := p.hosts[h.Name]
 	return l != nil && l.State == s
 }
--- a/internal/wave/replay_test.go
+++ b/internal/wave/replay_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/wave"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
@@ -70,7 +70,7 @@
 	now    time.Time
 	maps   map[string]*fleet.Map
 	old    map[string][]*fleet.Map // by zone, one per tick
-	hosts  []platform.Host
+	hosts  []etcd.Host
 	until  map[string]time.Time // when a host's present step ends
 	step   map[string]uint64    // the version that began that step
 	served map[string]string    // the pool that a host last served
@@ -109,9 +109,9 @@
 		}
 		racks := (n + 3) / 4
 		for i, pool := range pools {
-			h := platform.Host{
+			h := etcd.Host{
 				Name: fmt.Sprintf("%s-%03d", zone, i), Zone: zone, Rack: fmt.Sprintf("%s-r%02d", zone, i%racks),
-				Role: "worker", State: platform.Live, Cores: 16, Memory: 32, Booted: start.Add(-every),
+				Role: "worker", State: etcd.Live, Cores: 16, Memory: 32, Booted: start.Add(-every),
 				Addr: netip.AddrFrom4([4]byte{10, byte(z), byte(i / 250), byte(i % 250)}),
 			}
 			w.hosts = append(w.hosts, h)
@@ -178,8 +178,8 @@
 	}
 }
 
-func (w *replay) host(name string) *platform.Host {
-	i := slices.IndexFunc(w.hosts, func(h platform.Host) bool { return h.Name == name })
+func (w *replay) host(name string) *etcd.Host {
+	i := slices.IndexFunc(w.hosts, func(h etcd.Host) bool { return h.Name == name })
 	return &w.hosts[i]
 }
 
@@ -195,8 +195,8 @@
 		f := m.Host(h.Name)
 		dies := f != nil && f.State == fleet.Failed && w.now.Sub(f.Since) >= 2*time.Hour || since == 20*time.Minute && h.Rack == rack || w.r.Float64() < tick.Hours()/200
 		switch {
-		case h.State == platform.Live && dies:
-			h.State = platform.Gone
+		case h.State == etcd.Live && dies:
+			h.State = etcd.Gone
 			w.until["new "+h.Name] = w.now.Add(30 * time.Minute)
 			if h.Name == w.bad {
 				w.bad = ""
@@ -204,8 +204,8 @@
 			if f != nil {
 				w.edit(t, m, fleet.HostGone{Host: h.Name})
 			}
-		case h.State == platform.Gone && m.Host(h.Name) == nil && !w.now.Before(w.until["new "+h.Name]):
-			h.State, h.Booted = platform.Live, w.now
+		case h.State == etcd.Gone && m.Host(h.Name) == nil && !w.now.Before(w.until["new "+h.Name]):
+			h.State, h.Booted = etcd.Live, w.now
 			w.edit(t, m, fleet.HostNew{Host: h.Name, Rack: h.Rack, Spare: w.Services[len(w.Services)-1].Name, Maintained: w.now})
 		}
 	}
@@ -244,7 +244,7 @@
 func (w *replay) measure() {
 	live, useful := 0, 0
 	for i := range w.hosts {
-		if w.hosts[i].State == platform.Live {
+		if w.hosts[i].State == etcd.Live {
 			live++
 		}
 	}
--- a/internal/wave/size.go
+++ b/internal/wave/size.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 )
 
 const (
@@ -40,8 +40,8 @@
 	}
 }
 
-func (q *pool) fits(h *platform.Host) bool {
-	return h != nil && h.State == platform.Live && q.cores <= float64(h.Cores) && q.memory <= float64(h.Memory)
+func (q *pool) fits(h *etcd.Host) bool {
+	return h != nil && h.State == etcd.Live && q.cores <= float64(h.Cores) && q.memory <= float64(h.Memory)
 }
 
 // blamed reports whether failed starts are the service's own fault: it fails
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"gypsumtrestle.example/gypsumtrestle/examples"
+	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
-	"gypsumtrestle.example/gypsumtrestle/internal/platform"
 	"gypsumtrestle.example/gypsumtrestle/internal/wave"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
@@ -113,7 +113,7 @@
 			if h := &w.maps["vic"].Hosts[i]; h.Pool == tc.pool {
 				h.Maintained = w.now.Add(-every)
 				if tc.leaving {
-					w.host(h.Name).State = platform.Leaving
+					w.host(h.Name).State = etcd.Leaving
 				}
 			}
 		}
@@ -183,7 +183,7 @@
 		w.old[z] = []*fleet.Map{w.maps[z]}
 	}
 	leaving := w.host("vic-013")
-	leaving.State = platform.Leaving
+	leaving.State = etcd.Leaving
 	actions := wave.Plan(w.input("vic"))
 	if d := find(actions, wave.Drain); len(d) == 0 || d[0].Host != leaving.Name {
 		t.Errorf("the leaving host is not first: %v", d)
@@ -196,7 +196,7 @@
 		}
 		w.old[z] = []*fleet.Map{w.maps[z]}
 	}
-	leaving.State = platform.Live
+	leaving.State = etcd.Live
 	for _, d := range find(wave.Plan(w.input("vic")), wave.Drain) {
 		if d.Pool == "" {
 			t.Errorf("%s drains for maintenance while a service that its pool needs is below its floor", d.Host)
@@ -263,13 +263,13 @@
 	tx.Services[0].Memory = 500
 	w := settled(t, tx)
 	w.edit(t, w.maps["vic"], fleet.HostNew{Host: "vic-new", Rack: "vic-r00", Spare: "ostalo", Maintained: w.now})
-	w.hosts = append(w.hosts, platform.Host{Name: "vic-new", Zone: "vic", Role: "worker", State: platform.Live, Cores: 16, Memory: 32, Booted: w.now})
+	w.hosts = append(w.hosts, etcd.Host{Name: "vic-new", Zone: "vic", Role: "worker", State: etcd.Live, Cores: 16, Memory: 32, Booted: w.now})
 	w.edit(t, w.maps["vic"], fleet.HostGone{Host: "vic-000"})
 	in := w.input("vic")
 	if a := find(wave.Plan(in), wave.Grant); len(a) != 0 {
 		t.Errorf("granted %v to a service whose declared size fits no host", a)
 	}
-	in.Usage = []platform.Usage{{Host: "vic-001", Cores: 2, Memory: 10, At: w.now.Add(every)}}
+	in.Usage = []etcd.Usage{{Host: "vic-001", Cores: 2, Memory: 10, At: w.now.Add(every)}}
 	if a := find(wave.Plan(in), wave.Grant); len(a) != 1 || a[0].Host != "vic-new" {
 		t.Errorf("grants %v, want vic-new: reported use fits", a)
 	}
