sched: lasting tasks leave draining runners; platform: drop unused settings

Cause: tasks that last stayed on a runner that had said that it leaves, ended with it, and were away until that was noticed. They are now stopped one by one and started elsewhere (TestDrainingRunnerIsLeft).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,7 +78,7 @@
 		Policy:    policy(s.Advice),
 		Operators: d.operators.Config,
 		Limits: sched.Limits{
-			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early, Gang: s.Bounds.Gang,
+			Hold: s.Bounds.HoldMax, Keep: s.Bounds.Keep, Early: s.Bounds.Early,
 			Upkeep: s.Bounds.Upkeep, Move: s.Bounds.Move, Turn: s.Bounds.Lease,
 		},
 		Power:  min(s.Cores/strongCores, s.LinkMbps/strongLink, 1),
@@ -122,6 +122,9 @@
 // callers after the load balancer has noticed.
 func (d *Daemon) Run(ctx context.Context, settingsPath string) error {
 	d.logger.Log("msg", "daemon starts", "zone", d.settings.Zone, "front", d.settings.Front, "store", d.settings.Store, "incarnation", d.incarnation)
+	if d.settings.Orders != "call" {
+		d.logger.Log("msg", "runners take orders in a way that is not known; they are called", "orders", d.settings.Orders)
+	}
 	var g run.Group
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/sched/rules_test.go
+++ b/internal/sched/rules_test.go
@@ -192,3 +192,26 @@
 		t.Errorf("orders %v after the job has failed", got)
 	}
 }
+
+// TestDrainingRunnerIsLeft guards against lasting tasks that end with a runner
+// which has said that it leaves, and stay away until its lease has lapsed.
+func TestDrainingRunnerIsLeft(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runner("a", "b")
+	w.job(1, job.Step{Lasting: true, MayMiss: 1})
+	starts := w.plan()
+	w.accept(starts)
+	on := starts[0].To.ID
+	w.report(on, runner.Run{Task: starts[0].Task, Attempt: 1, Percent: 100})
+	i := info(on, "pool")
+	i.Draining = true
+	w.s.SetRunner(i, w.now)
+	if got := ofKind(w.plan(), StopRun); len(got) != 1 {
+		t.Fatalf("%d stops, want 1", len(got))
+	}
+	w.end(on, starts[0].Task, 1, runner.Stopped)
+	w.report(on)
+	if got := ofKind(w.plan(), StartRun); len(got) != 1 || got[0].To.ID == on {
+		t.Errorf("orders %v, want a start on the other runner", got)
+	}
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -21,7 +21,6 @@
 	// still extend the lease of a runner that this term has not reached.
 	Takeover time.Duration
 	Early    time.Duration // how much before its time a task may start
-	Gang     time.Duration
 	Upkeep   time.Duration // a machine in upkeep is back after this
 	Move     time.Duration // a moved machine is back after this
 	// Turn is how long after the begin of a term a machine must not be ordered
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -142,6 +142,9 @@
 func (s *State) planWaves(now clock.Boot) {
 	for _, n := range s.nodes {
 		n.cordoned = false
+		if n.Draining && n.contacted && !n.silent {
+			s.evacuate(n, now)
+		}
 	}
 	numbers := make([]int, 0, len(s.waves))
 	for n, w := range s.waves {
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -27,7 +27,7 @@
 func newWorld(t *testing.T, term runner.Term) *world {
 	t.Helper()
 	w := &world{t: t, now: 1000 * second, ends: make(map[runner.ID][]runner.End)}
-	w.s = New(term, w.now, Limits{Hold: 6 * time.Second, Keep: time.Minute, Takeover: 15 * time.Second, Gang: 3 * time.Second}, testLogger(t))
+	w.s = New(term, w.now, Limits{Hold: 6 * time.Second, Keep: time.Minute, Takeover: 15 * time.Second}, testLogger(t))
 	w.s.Configure(job.NewConfig(1, []*job.Queue{{Name: "work", Service: "pool", Attempts: 3, Stretch: 2, Target: time.Second}},
 		[]*job.Service{{Name: "pool", Guards: true}}, job.Limits{}))
 	return w
