--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -30,8 +30,7 @@
 	Logger log.Logger
 
 	cfg atomic.Pointer[job.Config]
-	// heard is when the store last answered, as Unix nanoseconds of the
-	// monotonic clock's wall reading.
+	// heard is when the store last answered.
 	heard atomic.Pointer[time.Time]
 }
 
