--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -13,6 +13,7 @@
 	pool     string
 	machines int // usable or on their way here
 	size     int // processor of the largest machine
+	memory   int // of the largest machine
 	// timely is how many machines the pool should have for the work that can
 	// still meet its objective, target with the late work.
 	timely, target int
@@ -60,7 +61,7 @@
 			continue
 		}
 		d.machines++
-		d.size = max(d.size, n.Room.CPU)
+		d.size, d.memory = max(d.size, n.Room.CPU), max(d.memory, n.Room.Mem)
 		switch {
 		case len(n.runs) == 0:
 			d.idle = append(d.idle, n)
@@ -71,7 +72,7 @@
 	for _, h := range s.hosts {
 		if d := byPool[h.to]; d != nil {
 			d.machines++
-			d.size = max(d.size, h.Room.CPU)
+			d.size, d.memory = max(d.size, h.Room.CPU), max(d.memory, h.Room.Mem)
 		}
 	}
 	ds := make([]*demand, 0, len(byPool))
@@ -79,7 +80,7 @@
 		d.timely, d.target = baseMachines, baseMachines
 		if d.size > 0 {
 			timely, all := s.wanted(name, now)
-			d.timely = max(d.timely, d.count(timely))
+			d.timely = max(d.timely, d.count(timely), s.spread(name, d.memory))
 			d.target = max(d.timely, d.count(all))
 		}
 		slices.SortFunc(d.busy, func(a, b *node) int {
@@ -98,6 +99,32 @@
 	return int(math.Ceil(float64(cpu) / fillShare / float64(d.size)))
 }
 
+// spread is how many machines the lasting tasks of a pool need for their memory
+// and for the number that may share a runner, and one more for a runner that
+// leaves.
+func (s *State) spread(pool string, memory int) int {
+	machines, total := 0, 0
+	for _, w := range s.open[pool] {
+		if !w.job.Lasting() {
+			continue
+		}
+		for i := range w.job.Steps {
+			sp := &w.job.Steps[i]
+			total += sp.Count * sp.Room.Mem
+			if sp.PerRunner > 0 {
+				machines = max(machines, (sp.Count+sp.PerRunner-1)/sp.PerRunner)
+			}
+		}
+	}
+	if memory > 0 {
+		machines = max(machines, (total+memory-1)/memory)
+	}
+	if machines == 0 {
+		return 0
+	}
+	return machines + 1
+}
+
 // wanted is the processor that a pool could use now: for the work that can still
 // meet its objective, and with the late work.
 func (s *State) wanted(pool string, now clock.Boot) (timely, all int) {
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -119,3 +119,27 @@
 		t.Errorf("%d machines are turned off, want %d", len(got), spare)
 	}
 }
+
+// TestSpreadNeedsMachines guards against a pool with too few machines for the
+// spread or the memory of its lasting tasks, though it has processor enough: on
+// quiet-1 588232674482 of shramba-lj-grown such a task found no runner for 15 s.
+func TestSpreadNeedsMachines(t *testing.T) {
+	for name, step := range map[string]job.Step{
+		"spread": {Count: 18, PerRunner: 2, Lasting: true, Room: job.Room{CPU: 100, Mem: 1}},
+		"memory": {Count: 18, Lasting: true, Room: job.Room{CPU: 100, Mem: 4000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := pools(t)
+			w.job(1, step)
+			in := 0
+			for _, to := range w.moves() {
+				if to == "pool" {
+					in++
+				}
+			}
+			if in != 2 {
+				t.Errorf("%d machines join the pool, want 2 beside its 8", in)
+			}
+		})
+	}
+}
