relay: use the strongest relays, with short messages

One leader with 147 daemons sent nearly every call in a message of its own, and each message costs it several system calls. It now uses as many relays of a zone as its runners need, those with the most capacity first; results wait up to 10 ms for others.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,6 +82,7 @@
 	d.relays = &relay.Pool{
 		Direct: runners, Logger: log.With(logger, "part", "relay"),
 		CallDirectly: func() bool { return d.leader.PolledRunners() <= directLimit },
+		Runners:      func() int { return d.leader.PolledRunners() },
 	}
 	relativeCapacity := min(s.Cores/referenceCores, s.LinkMbps/referenceLinkMbps, 1)
 	d.leader = lead.New(lead.Config{
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,8 +14,10 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
-// Path is the URL path at which the leader accepts connections of relays.
-const Path = "/relay"
+// Path is the URL path at which the leader accepts connections of relays. It
+// contains the version of the messages: a daemon of another version gets no
+// connection and is not used as a relay.
+const Path = "/relay/2"
 
 const (
 	// maxMessage bounds a message in bytes. A message may contain a batch of
@@ -23,9 +25,12 @@
 	maxMessage = 4 << 20
 	// maxBatch bounds the calls or results of one message.
 	maxBatch = 128
-	// batchDelay is how long the first call of a message waits for others. It
-	// is less than the latency between zones.
-	batchDelay = time.Millisecond
+	// callDelay is how long the first call of a message waits for others. One
+	// planning pass starts several tasks through the same relay.
+	callDelay = 2 * time.Millisecond
+	// resultDelay is the same for results. Each message costs the leader several
+	// system calls, and the objectives of jobs leave about a second.
+	resultDelay = 10 * time.Millisecond
 	// writeTimeout ends a write to a peer that does not read.
 	writeTimeout = 500 * time.Millisecond
 )
@@ -96,10 +101,10 @@
 	return nil
 }
 
-// writeBatches sends the values of the channel, several in a message, until the
-// context ends or a write fails.
-func writeBatches[T any](ctx context.Context, c *websocket.Conn, values <-chan T) error {
-	t := time.NewTimer(batchDelay)
+// writeBatches sends the values of the channel until the context ends or a write
+// fails. The first value of a message waits for others until delay has passed.
+func writeBatches[T any](ctx context.Context, c *websocket.Conn, values <-chan T, delay time.Duration) error {
+	t := time.NewTimer(delay)
 	defer t.Stop()
 	for {
 		var batch []T
@@ -109,7 +114,7 @@
 		case v := <-values:
 			batch = append(batch, v)
 		}
-		t.Reset(batchDelay)
+		t.Reset(delay)
 	collect:
 		for len(batch) < maxBatch {
 			select {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -43,9 +43,19 @@
 	// CallDirectly reports whether there are so few runners that the leader
 	// calls them itself.
 	CallDirectly func() bool
+	// Runners returns the number of runners. It determines how many of the
+	// relays are used; if it is nil, all are.
+	Runners func() int
 
 	mu     sync.Mutex
-	relays atomic.Pointer[[]*member] // replaced, never changed in place; ordered by name
+	relays []*member // ordered by name
+	used   atomic.Pointer[selection]
+}
+
+// selection is the relays in use. It is replaced, never changed in place.
+type selection struct {
+	relays  []*member // ordered by name
+	runners int       // number of runners that it was made for
 }
 
 var _ runner.Client = (*Pool)(nil)
@@ -92,7 +102,7 @@
 	m.done = ctx.Done()
 	p.update(m, true)
 	defer p.update(m, false)
-	go func() { m.cancel(writeBatches(ctx, c, m.calls)) }()
+	go func() { m.cancel(writeBatches(ctx, c, m.calls, callDelay)) }()
 	for {
 		var rs []result
 		if err := read(ctx, c, &rs); err != nil {
@@ -113,37 +123,98 @@
 func (p *Pool) update(m *member, add bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var rs []*member
-	if old := p.relays.Load(); old != nil {
-		rs = slices.DeleteFunc(slices.Clone(*old), func(x *member) bool { return x == m })
-	}
+	p.relays = slices.DeleteFunc(p.relays, func(x *member) bool { return x == m })
 	if add {
-		rs = append(rs, m)
-		slices.SortFunc(rs, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
-		p.Logger.Log("msg", "relay connected", "relay", m.Name, "zone", m.Zone, "power", m.RelativeCapacity, "relays", len(rs))
+		p.relays = append(p.relays, m)
+		slices.SortFunc(p.relays, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+		p.Logger.Log("msg", "relay connected", "relay", m.Name, "zone", m.Zone, "power", m.RelativeCapacity, "relays", len(p.relays))
+	}
+	p.choose()
+}
+
+// choose selects the relays to use. The mutex must be held.
+func (p *Pool) choose() {
+	s := &selection{relays: slices.Clone(p.relays)}
+	if p.Runners != nil {
+		s.runners = p.Runners()
+		s.relays = strongest(s.relays, s.runners)
+	}
+	p.used.Store(s)
+}
+
+const (
+	// runnersPerRelay is the number of runners that a relay on a reference host
+	// serves. Fewer relays send fuller messages, which saves the leader system
+	// calls.
+	runnersPerRelay = 100
+	// minRelays is the minimum number of relays used in a zone, for the failure
+	// of one.
+	minRelays = 2
+	// maxGrowth is the factor of the number of runners above or below which the
+	// relays are chosen again.
+	maxGrowth = 1.25
+)
+
+// strongest returns, for each zone, the relays with the most capacity that serve
+// its part of the runners. The argument and the result are ordered by name.
+func strongest(rs []*member, runners int) []*member {
+	capacity := make(map[string]float64) // of the selected relays by zone
+	count := make(map[string]int)
+	for _, m := range rs {
+		capacity[m.Zone] = 0
 	}
-	p.relays.Store(&rs)
+	need := float64(runners) / runnersPerRelay / float64(max(len(capacity), 1))
+	byCapacity := slices.Clone(rs)
+	slices.SortStableFunc(byCapacity, func(a, b *member) int { return cmp.Compare(b.RelativeCapacity, a.RelativeCapacity) })
+	var selected []*member
+	for _, m := range byCapacity {
+		if count[m.Zone] >= minRelays && capacity[m.Zone] >= need {
+			continue
+		}
+		selected = append(selected, m)
+		count[m.Zone]++
+		capacity[m.Zone] += m.RelativeCapacity
+	}
+	slices.SortFunc(selected, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+	return selected
+}
+
+// selected returns the relays to use, chosen again if the number of runners has
+// changed much.
+func (p *Pool) selected() []*member {
+	s := p.used.Load()
+	if s == nil {
+		return nil
+	}
+	if p.Runners != nil {
+		if n, old := float64(p.Runners()), float64(s.runners); n > old*maxGrowth || n*maxGrowth < old {
+			p.mu.Lock()
+			p.choose()
+			p.mu.Unlock()
+			s = p.used.Load()
+		}
+	}
+	return s.relays
 }
 
 // Relays returns the number of connected relays.
 func (p *Pool) Relays() int {
-	if rs := p.relays.Load(); rs != nil {
-		return len(*rs)
-	}
-	return 0
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.relays)
 }
 
 // pick returns the relay for a runner, or nil if the leader calls the runner
 // itself.
 func (p *Pool) pick(to runner.Target) *member {
-	rs := p.relays.Load()
-	if rs == nil || p.CallDirectly() {
+	if p.CallDirectly() {
 		return nil
 	}
-	if m := best(*rs, to, true); m != nil {
+	rs := p.selected()
+	if m := best(rs, to, true); m != nil {
 		return m
 	}
-	return best(*rs, to, false)
+	return best(rs, to, false)
 }
 
 // best selects a relay by a weighted hash of relay and runner. With sameZone
--- a/internal/relay/recorded_test.go
+++ b/internal/relay/recorded_test.go
@@ -36,7 +36,7 @@
 	close(disconnected)
 	m := &member{calls: make(chan call, 1), pending: make(map[uint64]chan result), done: disconnected}
 	p := &Pool{CallDirectly: func() bool { return false }}
-	p.relays.Store(&[]*member{m})
+	p.used.Store(&selection{relays: []*member{m}})
 	to, task := recorded.New[runner.Target](), recorded.New[job.Task]()
 	ctx := t.Context()
 	for _, x := range []struct {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -194,3 +194,44 @@
 		}
 	}
 }
+
+// TestStrongestRelaysUsed guards against calls that are spread over so many
+// relays that each message carries one call, and against weak hosts that are
+// given more runners than they can serve.
+func TestStrongestRelaysUsed(t *testing.T) {
+	relays := func(capacities ...float64) []*member {
+		var rs []*member
+		for i, c := range capacities {
+			rs = append(rs, &member{hello: hello{Name: string(rune('a' + i)), Zone: "z", RelativeCapacity: c}})
+		}
+		return rs
+	}
+	names := func(rs []*member) string {
+		s := ""
+		for _, m := range rs {
+			s += m.Name
+		}
+		return s
+	}
+	for _, x := range []struct {
+		capacities []float64
+		runners    int
+		want       string
+	}{
+		{[]float64{0.1, 1, 0.1, 1, 1}, 50, "bd"},
+		{[]float64{0.1, 1, 0.1, 1, 1}, 250, "bde"},
+		{[]float64{0.1, 0.2, 0.1, 0.2}, 50, "abd"},
+		{[]float64{0.1, 0.2}, 500, "ab"},
+	} {
+		if got := names(strongest(relays(x.capacities...), x.runners)); got != x.want {
+			t.Errorf("%d runners, capacities %v: relays %s, want %s", x.runners, x.capacities, got, x.want)
+		}
+	}
+	other := relays(1, 1, 1)
+	for _, m := range other {
+		m.Zone = "y"
+	}
+	if got := len(strongest(append(relays(1, 1, 1), other...), 100)); got != 2*minRelays {
+		t.Errorf("%d relays of two zones, want %d", got, 2*minRelays)
+	}
+}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -75,7 +75,7 @@
 	cctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	results := make(chan result, maxBatch)
-	go func() { stop(writeBatches(cctx, c, results)) }()
+	go func() { stop(writeBatches(cctx, c, results, resultDelay)) }()
 	go func() {
 		select {
 		case <-cctx.Done():
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,16 +108,17 @@
 
 // Run is a run that a runner reports as running.
 type Run struct {
+	_          struct{} `cbor:",toarray"`
 	Task       job.Task
 	Attempt    int
-	Checkpoint string `cbor:"Saved"` // newest checkpoint
+	Checkpoint string // newest checkpoint
 	Percent    int    // throttle; 100 is full speed
 	// Load is the tail latency in milliseconds for a long-running task with a
 	// target latency, and the CPU in use in thousandths of a core for any other
 	// task.
 	Load int
 	// ReportsLoad is set if the runner reports loads.
-	ReportsLoad bool `cbor:"Measured"`
+	ReportsLoad bool
 }
 
 // Cause is the way in which a run ended.
@@ -140,19 +141,21 @@
 // RunResult is the result of a run. Sequence numbers start at 1 in each
 // incarnation.
 type RunResult struct {
-	Seq        int `cbor:"N"`
+	_          struct{} `cbor:",toarray"`
+	Seq        int
 	Task       job.Task
 	Attempt    int
 	Cause      Cause
-	Checkpoint string `cbor:"Saved"`
+	Checkpoint string
 }
 
 // Report is the reply to a PollRequest. More results may follow if Results is full.
 type Report struct {
-	Incarnation Incarnation `cbor:"Life"`
+	_           struct{} `cbor:",toarray"`
+	Incarnation Incarnation
 	Clock       clock.RunnerTime
 	Running     []Run
-	Results     []RunResult `cbor:"Ends"`
+	Results     []RunResult
 }
 
 // Target is the runner that a command is sent to.
