sched, lead: planning, roster and progress cost less

Two faults found on the way, each with a test that failed first. After the reply to a write of the roster or of the intents was lost, the leader took the last one with a reply for the stored one: a runner in use had no open entry, or a command went to a machine without an intent. Progress is now stored in the order of its changes; before, the order was random.

--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -86,7 +86,7 @@
 		t.logger.Log("msg", "roster decoding failed", "rev", int64(it.Rev), "err", err)
 	}
 	t.state.InheritRoster(entries)
-	t.rosterRev, t.roster = it.Rev, entries
+	t.rosterRev = it.Rev
 }
 
 // addJob adds an accepted job to the state.
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -165,9 +165,17 @@
 	var conflict *kv.Conflict
 	if errors.As(err, &conflict) {
 		t.intentsRev = conflict.Find(job.MachinesKey).Rev
+		t.mu.Lock()
+		t.state.IntentsUnknown()
+		t.mu.Unlock()
 		return nil
 	}
 	if err != nil {
+		if !errors.Is(err, kv.ErrRejected) {
+			t.mu.Lock()
+			t.state.IntentsUnknown()
+			t.mu.Unlock()
+		}
 		return errors.Wrap(err, "store machine intents")
 	}
 	t.intentsRev = rev
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -40,7 +40,6 @@
 	pollerCount *atomic.Int64 // number of pollers; the Leader's polledRunners
 	wg          sync.WaitGroup
 
-	roster     []sched.RosterEntry // as stored
 	rosterRev  kv.Revision
 	intentsRev kv.Revision
 }
--- /dev/null
+++ b/internal/lead/unknown_test.go
@@ -0,0 +1,133 @@
+package lead
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+	"gypsumtrestle.example/gypsumtrestle/internal/sched"
+	"gypsumtrestle.example/gypsumtrestle/internal/standin/store"
+)
+
+// lossyStore carries out each commit, and loses the reply while lose is set.
+type lossyStore struct {
+	*store.Store
+	lose bool
+}
+
+func (s *lossyStore) Commit(ctx context.Context, t kv.Txn) (kv.Revision, error) {
+	rev, err := s.Store.Commit(ctx, t)
+	if err == nil && s.lose {
+		return 0, errors.Wrap(kv.ErrUnknown, "reply lost")
+	}
+	return rev, err
+}
+
+// newTestTerm returns a term that holds the leader key of a store.
+func newTestTerm(t *testing.T, s *lossyStore) *term {
+	t.Helper()
+	rev, err := s.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: job.LeaderKey}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := sched.New(runner.Term(rev), clock.Now(), sched.Limits{MaxRunnerLease: 6 * time.Second}, log.NewNopLogger())
+	return &term{cfg: &Config{Store: s}, id: runner.Term(rev), logger: log.NewNopLogger(), wakeup: make(chan struct{}, 1), state: state}
+}
+
+// TestRosterReplyLost guards against a roster that the store holds and the
+// leader does not: the reply to the write that closed a runner's entry was lost,
+// the runner then replied again, and the leader took the entry that it had
+// written before for the stored one. The next leader would have started the
+// tasks of that runner again.
+func TestRosterReplyLost(t *testing.T) {
+	s := &lossyStore{Store: &store.Store{}}
+	tm := newTestTerm(t, s)
+	now := clock.Now()
+	tm.state.SetRunner(runner.Info{ID: "a", Incarnation: 1, Service: "p", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, now)
+	report := func() { tm.state.HandleReport("a", now, now, &runner.Report{Incarnation: 1, Clock: 1000}) }
+	open := func() bool {
+		it, err := s.Get(t.Context(), job.RosterKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var entries []sched.RosterEntry
+		if err := cbor.Unmarshal(it.Value, &entries); err != nil {
+			t.Fatal(err)
+		}
+		return len(entries) == 1 && !entries[0].Closed
+	}
+	report()
+	if err := tm.storeRoster(t.Context()); err != nil || !open() {
+		t.Fatalf("store the first roster: %v, open %t", err, open())
+	}
+	tm.state.PollFailed("a", now)
+	s.lose = true
+	if err := tm.storeRoster(t.Context()); !errors.Is(err, kv.ErrUnknown) || open() {
+		t.Fatalf("store the roster without a reply: %v, open %t", err, open())
+	}
+	s.lose = false
+	report()
+	for range 2 { // the first write finds the revision of the one without a reply
+		if err := tm.storeRoster(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !open() {
+		t.Error("the stored roster has no open entry for a runner that is in use")
+	}
+}
+
+// TestIntentReplyLost guards against a command to a machine whose intent the
+// store no longer holds: the reply to the write that released the intent was
+// lost, and the leader took the intent that it had written before for the
+// stored one.
+func TestIntentReplyLost(t *testing.T) {
+	s := &lossyStore{Store: &store.Store{}}
+	tm := newTestTerm(t, s)
+	tm.state.Limits.MachineTakeover = time.Second
+	now := clock.Now()
+	tm.state.Configure(job.NewConfig(1, nil, []*job.Service{{Name: "p"}}, job.Limits{}))
+	tm.state.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m"}, MaxUnavailable: 1, Within: time.Minute}, false, now)
+	tm.state.Plan(now, time.Now()) // drains the machine
+	now = now.Add(time.Second)
+	tm.state.Plan(now, time.Now()) // adds the intent
+	if err := tm.storeIntents(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(time.Second)
+	tm.state.Plan(now, time.Now())
+	cs := tm.state.Commands()
+	if len(cs) != 1 {
+		t.Fatalf("%d commands, want 1", len(cs))
+	}
+	tm.state.HandleMachineReply(&cs[0], machine.Busy, true, now.Add(-time.Hour)) // long before now, so that the intent is released
+	s.lose = true
+	if err := tm.storeIntents(t.Context()); !errors.Is(err, kv.ErrUnknown) {
+		t.Fatalf("release the intent without a reply: %v", err)
+	}
+	s.lose = false
+	tm.state.Plan(now.Add(time.Second), time.Now()) // wants the intent again
+	tm.state.Plan(now.Add(2*time.Second), time.Now())
+	if cs := tm.state.Commands(); len(cs) != 0 {
+		t.Errorf("command %v sent, but the store holds no intent", cs)
+	}
+	for range 2 { // the first write finds the revision of the one without a reply
+		if err := tm.storeIntents(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tm.state.Plan(now.Add(3*time.Second), time.Now())
+	if cs := tm.state.Commands(); len(cs) != 1 {
+		t.Errorf("%d commands after the intent is stored, want 1", len(cs))
+	}
+}
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"reflect"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -171,8 +170,9 @@
 		case err != nil || (rep == nil && !t.handleRejection(id, reply, now)):
 			t.state.PollFailed(id, now)
 		case rep != nil:
-			t.state.HandleReport(id, sent, now, rep)
-			t.notify()
+			if t.state.HandleReport(id, sent, now, rep) {
+				t.notify()
+			}
 		}
 		t.mu.Unlock()
 		if rep == nil {
@@ -292,14 +292,13 @@
 // storeRoster stores which runners may be used, before they are used.
 func (t *term) storeRoster(ctx context.Context) error {
 	t.mu.Lock()
-	entries := t.state.Roster(clock.Now(), false)
-	t.mu.Unlock()
-	if t.rosterRev != 0 && reflect.DeepEqual(entries, t.roster) {
-		t.mu.Lock()
-		t.state.RosterStored(entries)
+	now := clock.Now()
+	if t.rosterRev != 0 && !t.state.RosterChanged(now) {
 		t.mu.Unlock()
 		return nil
 	}
+	entries := t.state.Roster(now, false)
+	t.mu.Unlock()
 	b, err := cbor.Marshal(entries)
 	if err != nil {
 		return errors.Wrap(err, "encode roster")
@@ -316,13 +315,20 @@
 			return errLostLeadership
 		}
 		t.rosterRev = conflict.Find(job.RosterKey).Rev
-		t.roster = nil
+		t.mu.Lock()
+		t.state.RosterUnknown()
+		t.mu.Unlock()
 		return nil
 	}
 	if err != nil {
+		if !errors.Is(err, kv.ErrRejected) {
+			t.mu.Lock()
+			t.state.RosterUnknown()
+			t.mu.Unlock()
+		}
 		return errors.Wrap(err, "store roster")
 	}
-	t.rosterRev, t.roster = rev, entries
+	t.rosterRev = rev
 	t.mu.Lock()
 	t.state.RosterStored(entries)
 	t.mu.Unlock()
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -218,7 +218,6 @@
 	}
 	rs.remove(r)
 	r.task.endedAt = now
-	s.changed = true
 	if reply.Verdict == runner.NoPermit {
 		delete(r.task.step.permits.byRunner, rs.ID)
 	}
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
@@ -16,31 +18,34 @@
 
 // DirtyProgress returns progress that is not stored yet, at most limit rows.
 func (s *State) DirtyProgress(limit int) []ProgressRow {
-	if !s.changed {
-		return nil
-	}
 	var rows []ProgressRow
-	for _, js := range s.jobs {
-		if js.storedVersion == js.version {
-			continue
-		}
-		if len(rows) == limit {
-			return rows
-		}
+	for _, js := range s.dirty[:min(limit, len(s.dirty))] {
 		rows = append(rows, ProgressRow{ID: js.def.ID, Version: js.version, Rev: int64(js.rev), Progress: js.progress()})
 	}
-	s.changed = len(rows) > 0
 	return rows
 }
 
-// ProgressStored records that rows were stored at a revision.
+// ProgressStored records that rows were stored at a revision. Jobs that have
+// changed since then are stored again after those that have waited longer.
 func (s *State) ProgressStored(rows []ProgressRow, rev kv.Revision) {
+	var again []*jobState
 	for _, r := range rows {
-		if js := s.jobs[r.ID]; js != nil {
-			js.storedVersion = max(js.storedVersion, r.Version)
-			js.rev = rev
+		js := s.jobs[r.ID]
+		if js == nil {
+			continue
+		}
+		js.storedVersion = max(js.storedVersion, r.Version)
+		js.rev = rev
+		js.dirty = false
+		if js.storedVersion != js.version {
+			again = append(again, js)
 		}
 	}
+	s.dirty = slices.DeleteFunc(s.dirty, func(js *jobState) bool { return !js.dirty })
+	for _, js := range again {
+		js.dirty = true
+	}
+	s.dirty = append(s.dirty, again...)
 	for _, rs := range s.runners {
 		rs.acknowledge()
 	}
--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// IntentsUnknown records that a write of the intents may have taken effect, so
+// that the store may hold other intents than the last ones that were certainly
+// stored. No command is sent to a machine until they are stored again.
+func (s *State) IntentsUnknown() { s.storedIntents = nil }
+
 // ensureIntent reports whether a command may be sent to a machine now: the
 // store holds the intent of this term, and the takeover delay after a previous
 // term has passed. It adds the intent if it is missing.
@@ -55,7 +60,6 @@
 		return false
 	}
 	s.intents[id] = Intent{Term: s.Term, AcceptedWave: in.AcceptedWave, PendingWave: wave}
-	s.changed = true
 	return false
 }
 
@@ -85,7 +89,6 @@
 	case machine.Accepted:
 		m.phase, m.since = down, now
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
-		s.changed = true
 		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner {
 			s.endIncarnation(rs, "machine in maintenance", now)
 		}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -87,6 +87,11 @@
 	due   time.Time
 	steps []*step
 	done  int // complete steps
+	// remainingChain and remainingWork are the results of remaining for
+	// remainingAt done tasks.
+	remainingChain time.Duration
+	remainingWork  float64
+	remainingAt    int
 }
 
 // ready reports whether the steps that s depends on are complete.
@@ -102,6 +107,7 @@
 // jobState is a job with its progress.
 type jobState struct {
 	def        *job.Job
+	queue      *job.Queue // nil if it is not configured
 	created    kv.Revision
 	acceptedAt clock.BootTime // acceptance time
 	outcome    job.Outcome
@@ -114,6 +120,7 @@
 	// version counts the changes of the progress; storedVersion is the version
 	// in the store.
 	version, storedVersion uint64
+	dirty                  bool           // in State.dirty
 	rev                    kv.Revision    // of the progress in the store; 0: none
 	closed                 clock.BootTime // when the outcome was set
 	storedTasks            map[job.Task]*job.TaskProgress
@@ -121,9 +128,6 @@
 
 func (js *jobState) open() bool { return js.outcome == job.Open && !js.cancelled }
 
-// bumpVersion records a change of the durable progress.
-func (js *jobState) bumpVersion() { js.version++ }
-
 // occurrence returns the n-th occurrence, creating it if needed.
 func (js *jobState) occurrence(n int) *occurrence {
 	for _, o := range js.occs {
@@ -131,7 +135,7 @@
 			return o
 		}
 	}
-	o := &occurrence{job: js, n: n, due: js.def.Due(n)}
+	o := &occurrence{job: js, n: n, due: js.def.Due(n), remainingAt: -1}
 	for i := range js.def.Steps {
 		s := &step{occ: o, spec: &js.def.Steps[i], index: i}
 		s.tasks = make([]*task, s.spec.Count)
@@ -183,6 +187,18 @@
 // remaining returns the longest chain and the work in core-seconds that an
 // occurrence still needs.
 func (o *occurrence) remaining() (chain time.Duration, coreSeconds float64) {
+	done := 0
+	for _, s := range o.steps {
+		done += s.done
+	}
+	if o.remainingAt != done {
+		o.remainingChain, o.remainingWork = o.computeRemaining()
+		o.remainingAt = done
+	}
+	return o.remainingChain, o.remainingWork
+}
+
+func (o *occurrence) computeRemaining() (chain time.Duration, coreSeconds float64) {
 	ends := make([]time.Duration, len(o.steps))
 	for i, s := range o.steps {
 		if s.complete() {
--- a/internal/sched/permit.go
+++ b/internal/sched/permit.go
@@ -50,7 +50,7 @@
 
 // permitted reports whether the policy of the step's queue allows a runner.
 func (s *State) permitted(rs *runnerState, st *step, now clock.BootTime) bool {
-	q := s.queue(st.occ.job)
+	q := st.occ.job.queue
 	if q == nil || q.Policy == nil {
 		return true
 	}
@@ -61,7 +61,7 @@
 // queryPolicy requests permits for a step if its queue has a policy, no query
 // is pending and no usable runner with enough free capacity has a permit.
 func (s *State) queryPolicy(runners []*runnerState, st *step, now clock.BootTime) {
-	q := s.queue(st.occ.job)
+	q := st.occ.job.queue
 	if q == nil || q.Policy == nil || st.permits.pending || st.permits.notBefore.After(now) {
 		return
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -25,23 +25,43 @@
 				s.placeGang(runners, st, now)
 				continue
 			}
-			for _, t := range st.tasks {
-				if !s.startable(t, now) {
-					continue
-				}
-				rs := s.choose(runners, t, now)
-				if rs == nil {
-					break // the other tasks of the step have the same demand
-				}
-				if attempt := s.nextAttempt(t); s.reserve(t, attempt) {
-					s.start(t, rs, attempt, now, reason(c, rs, t))
-				}
+			if s.placeStep(runners, c, st, now) {
+				maxFree = largestFree(runners)
 			}
-			maxFree = largestFree(runners)
 		}
 	}
 }
 
+// placeStep starts the tasks of a step that fit, and reports whether it has
+// started any.
+func (s *State) placeStep(runners []*runnerState, c candidate, st *step, now clock.BootTime) bool {
+	started := false
+	var last *runnerState
+	for _, t := range st.tasks {
+		if !s.startable(t, now) {
+			continue
+		}
+		rs := last
+		if rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now) {
+			rs = s.choose(runners, t, now)
+		}
+		if rs == nil {
+			break // the other tasks of the step have the same demand
+		}
+		last = nil
+		if !st.spec.LongRunning && len(t.avoid) == 0 {
+			// Tasks are packed: a runner that was best for one of several equal
+			// tasks is also best for the next, as long as that fits.
+			last = rs
+		}
+		if attempt := s.nextAttempt(t); s.reserve(t, attempt) {
+			s.start(t, rs, attempt, now, reason(c, rs, t))
+			started = true
+		}
+	}
+	return started
+}
+
 // largestFree returns, for each resource, the largest free amount on any
 // runner.
 func largestFree(runners []*runnerState) job.Resources {
@@ -72,11 +92,15 @@
 func (s *State) choose(runners []*runnerState, t *task, now clock.BootTime) *runnerState {
 	var best *runnerState
 	var bestScore [4]int
+	var perRack map[string]int
+	if t.step.spec.LongRunning {
+		perRack = runsPerRack(t.step)
+	}
 	for _, rs := range runners {
 		if !s.allowed(rs, t, now) {
 			continue
 		}
-		sc := score(rs, t)
+		sc := score(rs, t, perRack)
 		if best == nil || slices.Compare(sc[:], bestScore[:]) > 0 {
 			best, bestScore = rs, sc
 		}
@@ -87,10 +111,7 @@
 // allowed reports whether a task may run on a runner.
 func (s *State) allowed(rs *runnerState, t *task, now clock.BootTime) bool {
 	sp := t.step.spec
-	if !s.permitted(rs, t.step, now) {
-		return false
-	}
-	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) {
+	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) {
 		return false
 	}
 	if rs.runs[t.name] != nil {
@@ -111,8 +132,8 @@
 }
 
 // score ranks a runner for a task. The scores are compared in order; a higher
-// one is better.
-func score(rs *runnerState, t *task) [4]int {
+// one is better. The runs of a long-running step are counted in perRack.
+func score(rs *runnerState, t *task, perRack map[string]int) [4]int {
 	sp := t.step.spec
 	var sc [4]int
 	if !slices.Contains(t.avoid, rs.ID) {
@@ -125,7 +146,7 @@
 		// Long-running tasks are packed onto few runners, so that the other
 		// machines can move between pools, but the tasks of one step are spread
 		// over racks.
-		sc[1] = -runsOfStepInRack(rs, t)
+		sc[1] = -perRack[rs.Rack]
 		if rs.longRunning > 0 {
 			sc[2] = 1
 		}
@@ -140,18 +161,15 @@
 	return sc
 }
 
-// runsOfStepInRack returns the number of runs of the same step in a runner's
-// rack.
-func runsOfStepInRack(rs *runnerState, t *task) int {
-	c := 0
-	for _, x := range t.step.tasks {
-		for _, r := range x.runs {
-			if r.runner.Rack == rs.Rack {
-				c++
-			}
+// runsPerRack returns the number of runs of a step in each rack.
+func runsPerRack(st *step) map[string]int {
+	counts := make(map[string]int)
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			counts[r.runner.Rack]++
 		}
 	}
-	return c
+	return counts
 }
 
 // placeGang starts either all tasks of a step or none.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -17,6 +17,7 @@
 	full := now.Sub(s.lastFullPlan) >= fullPlanInterval
 	if full {
 		s.lastFullPlan = now
+		s.recordIdle(now)
 		s.expireLeases(now)
 		s.resolveInherited()
 		s.resend()
@@ -24,21 +25,14 @@
 		s.planWaves(now)
 		s.planPools(now)
 	}
-	pools := make(map[string][]*runnerState)
-	for _, rs := range s.runners {
-		if len(rs.runs) > 0 || rs.idleSince == 0 {
-			rs.idleSince = now
-		}
-		if s.usable(rs, now) {
-			pools[rs.Service] = append(pools[rs.Service], rs)
-		}
-	}
 	for svc, jobs := range s.open {
-		runners := pools[svc]
-		if len(runners) == 0 || len(jobs) == 0 {
+		if len(jobs) == 0 {
+			continue
+		}
+		runners := s.usableRunners(svc, now)
+		if len(runners) == 0 {
 			continue
 		}
-		slices.SortFunc(runners, func(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) })
 		s.place(runners, jobs, now)
 		if full {
 			s.stragglers(runners, now)
@@ -49,6 +43,41 @@
 	}
 }
 
+// recordIdle records since when each runner has no runs.
+func (s *State) recordIdle(now clock.BootTime) {
+	for _, rs := range s.runners {
+		if len(rs.runs) > 0 || rs.idleSince == 0 {
+			rs.idleSince = now
+		}
+	}
+}
+
+// usableRunners returns the runners of a pool on which new runs may be started,
+// ordered by ID. The slice is valid until the next call.
+func (s *State) usableRunners(pool string, now clock.BootTime) []*runnerState {
+	s.usableBuf = s.usableBuf[:0]
+	for _, rs := range s.runnersOf(pool) {
+		if s.usable(rs, now) {
+			s.usableBuf = append(s.usableBuf, rs)
+		}
+	}
+	return s.usableBuf
+}
+
+// runnersOf returns all runners of a pool, ordered by ID.
+func (s *State) runnersOf(pool string) []*runnerState {
+	if s.byPool == nil {
+		s.byPool = make(map[string][]*runnerState)
+		for _, rs := range s.runners {
+			s.byPool[rs.Service] = append(s.byPool[rs.Service], rs)
+		}
+		for _, l := range s.byPool {
+			slices.SortFunc(l, func(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) })
+		}
+	}
+	return s.byPool[pool]
+}
+
 // fullPlanInterval is the time between two full planning passes, which cover
 // what changes slowly: leases, repeated commands, waves, pools and throttling.
 const fullPlanInterval = 30 * time.Millisecond
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -21,7 +21,7 @@
 func (s *State) candidates(jobs []*jobState, now clock.BootTime) []candidate {
 	var cs []candidate
 	for _, js := range jobs {
-		q := s.queue(js)
+		q := js.queue
 		for _, o := range js.occs {
 			if !s.hasStartable(o, now) {
 				continue
@@ -63,7 +63,7 @@
 // deadlineClass returns the class of a job whose remaining chain of tasks takes
 // the given time.
 func (s *State) deadlineClass(js *jobState, chain time.Duration, now clock.BootTime) deadlineClass {
-	q := s.queue(js)
+	q := js.queue
 	if q == nil {
 		return timely
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -13,6 +13,9 @@
 // SetRunner adds or updates a runner from its entry in the store.
 func (s *State) SetRunner(i runner.Info, now clock.BootTime) {
 	rs := s.runners[i.ID]
+	if rs == nil || rs.Service != i.Service {
+		s.byPool = nil
+	}
 	switch {
 	case rs == nil:
 		rs = newRunnerState(i)
@@ -71,7 +74,7 @@
 		return
 	}
 	delete(s.runners, rs.ID)
-	s.changed = true
+	s.byPool = nil
 }
 
 // endIncarnation records that all runs on a runner ended with its incarnation.
@@ -103,7 +106,6 @@
 	s.Logger.Log("msg", "run lost", "task", r.task.name, "attempt", r.attempt, "runner", r.runner.ID, "why", why)
 	r.runner.remove(r)
 	r.task.endedAt = now
-	s.changed = true
 }
 
 // PollFailed records that a runner did not reply to a poll.
@@ -155,12 +157,15 @@
 	idlePollWait = 1500 * time.Millisecond
 )
 
-// HandleReport handles the reply to a poll that was sent at the time sent.
-func (s *State) HandleReport(id runner.ID, sent, now clock.BootTime, rep *runner.Report) {
+// HandleReport handles the reply to a poll that was sent at the time sent. It
+// reports whether the report changes what may be planned.
+func (s *State) HandleReport(id runner.ID, sent, now clock.BootTime, rep *runner.Report) bool {
 	rs := s.runners[id]
 	if rs == nil || rep.Incarnation < rs.Incarnation || (rs.ended && rep.Incarnation == rs.Incarnation) {
-		return
+		return false
 	}
+	changed := !rs.replied || rs.unreachable || rep.Incarnation > rs.Incarnation
+	applied, runs := rs.applied, len(rs.runs)
 	if rep.Incarnation > rs.Incarnation {
 		i := rs.Info
 		i.Incarnation = rep.Incarnation
@@ -190,6 +195,7 @@
 		s.Logger.Log("msg", "runner reached", "runner", id, "service", rs.Service, "runs", len(rs.runs), "ends", len(rep.Results))
 	}
 	rs.acknowledge()
+	return changed || rs.applied != applied || len(rs.runs) != runs
 }
 
 // resultsPage is the maximum number of results in a report. Only a report with
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -40,7 +40,6 @@
 		rs.remove(r)
 	}
 	t.endedAt = now
-	s.changed = true
 	if res.Checkpoint != "" {
 		t.checkpoint = res.Checkpoint
 	}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -69,6 +69,7 @@
 		s.inherited[e.ID] = in
 		if s.runners[e.ID] == nil && e.Addr.IsValid() {
 			s.runners[e.ID] = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr})
+			s.byPool = nil
 		}
 	}
 	s.RosterStored(entries)
@@ -86,6 +87,48 @@
 	return ids
 }
 
+// equal reports whether two entries of a runner are the same.
+func (e RosterEntry) equal(o RosterEntry) bool {
+	return e.Closed == o.Closed && e.Remaining == o.Remaining && e.Addr == o.Addr && slices.Equal(e.Tasks, o.Tasks)
+}
+
+// RosterChanged reports whether the roster that must be stored now differs from
+// the one that the store holds.
+func (s *State) RosterChanged(now clock.BootTime) bool {
+	if s.storedRoster == nil {
+		return true
+	}
+	n := 0
+	for id, rs := range s.runners {
+		e, ok := s.rosterEntry(rs, now, false)
+		if !ok {
+			continue
+		}
+		if stored, found := s.storedRoster[id]; !found || !e.equal(stored) {
+			return true
+		}
+		if !e.Closed && e.Remaining == 0 {
+			s.rostered[id] = true // a write that would have closed it was rejected
+		}
+		n++
+	}
+	for id, in := range s.inherited {
+		if s.runners[id] != nil {
+			continue
+		}
+		if stored, found := s.storedRoster[id]; !found || !in.entry(id, now).equal(stored) {
+			return true
+		}
+		n++
+	}
+	return n != len(s.storedRoster)
+}
+
+// RosterUnknown records that a write of the roster may have taken effect, so
+// that the store may hold either roster. Runners that only one of them has open
+// are not used until a roster is certainly stored.
+func (s *State) RosterUnknown() { s.storedRoster = nil }
+
 // Roster returns the roster that must be stored now. Runners without an open
 // entry are given no new runs and no longer lease from this call on, until one is
 // stored. With closing set, for a leader that steps down, the entries of the
@@ -159,8 +202,10 @@
 // RosterStored records that the store holds a roster.
 func (s *State) RosterStored(entries []RosterEntry) {
 	clear(s.rostered)
+	s.storedRoster = make(map[runner.ID]RosterEntry, len(entries))
 	for _, e := range entries {
 		s.rostered[e.ID] = !e.Closed && e.Remaining == 0
+		s.storedRoster[e.ID] = e
 	}
 }
 
@@ -177,7 +222,7 @@
 		if s.confirmedAt.After(in.until) {
 			s.Logger.Log("msg", "roster entry of previous term expired", "runner", id, "closed", in.closed, "tasks", len(in.tasks))
 			delete(s.inherited, id)
-			s.changed, s.expiredUnreached = true, true
+			s.expiredUnreached = true
 			continue
 		}
 		s.noOpenInherited = s.noOpenInherited && in.closed
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -43,26 +43,31 @@
 	open         map[string][]*jobState // by service, in order of acceptance
 	runners      map[runner.ID]*runnerState
 	byMachine    map[machine.ID]*runnerState // newest runner
+	byPool       map[string][]*runnerState   // see runnersOf; nil after a runner was added, removed or moved
+	usableBuf    []*runnerState              // see usableRunners
 	lastFullPlan clock.BootTime              // time of the last full planning pass
 	// inherited holds the roster entries of previous terms whose runners have
 	// not replied in this term.
-	inherited        map[runner.ID]*inherited
-	rostered         map[runner.ID]bool // set if the stored roster has an open entry
-	expiredUnreached bool               // an inherited entry expired without a reply from its runner
-	noOpenInherited  bool               // no inherited entry is open
-	possiblyRunning  map[job.Task]bool  // tasks of inherited closed entries
+	inherited map[runner.ID]*inherited
+	rostered  map[runner.ID]bool // set if the stored roster has an open entry
+	// storedRoster is the roster that the store holds; nil if that is not known.
+	storedRoster     map[runner.ID]RosterEntry
+	expiredUnreached bool              // an inherited entry expired without a reply from its runner
+	noOpenInherited  bool              // no inherited entry is open
+	possiblyRunning  map[job.Task]bool // tasks of inherited closed entries
 	commands         []Command
 	policyQueries    []PolicyQuery
-	changed          bool        // progress, roster or intents must be stored
-	closed           []*jobState // jobs with an outcome, the earliest first
-	waves            map[int]*wave
-	machineStates    map[machine.ID]*machineState
-	listedAt         clock.BootTime     // when the machines were last listed
-	inputCurrentAt   clock.BootTime     // time up to which the input is complete
-	shortage         bool               // a pool has fewer machines than its timely work needs
-	poolsLoggedAt    clock.BootTime     // when the pools were last logged
-	arrivals         map[string]arrival // by pool
-	intents          map[machine.ID]Intent
+	// dirty are the jobs whose progress must be stored, the longest waiting first.
+	dirty          []*jobState
+	closed         []*jobState // jobs with an outcome, the earliest first
+	waves          map[int]*wave
+	machineStates  map[machine.ID]*machineState
+	listedAt       clock.BootTime     // when the machines were last listed
+	inputCurrentAt clock.BootTime     // time up to which the input is complete
+	shortage       bool               // a pool has fewer machines than its timely work needs
+	poolsLoggedAt  clock.BootTime     // when the pools were last logged
+	arrivals       map[string]arrival // by pool
+	intents        map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
 	lastCommandEnd map[machine.ID]clock.BootTime
@@ -84,6 +89,9 @@
 // to their queue.
 func (s *State) Configure(c *job.Config) {
 	s.cfg = c
+	for _, js := range s.jobs {
+		js.queue = c.Queues[js.def.Queue]
+	}
 	for svc, jobs := range s.open {
 		kept := jobs[:0:0]
 		for _, js := range jobs {
@@ -105,23 +113,15 @@
 // service returns the pool that runs a job: the pool of its queue, or the pool
 // at its acceptance if the queue is no longer configured.
 func (s *State) service(js *jobState) string {
-	if q := s.queue(js); q != nil {
+	if q := js.queue; q != nil {
 		return q.Service
 	}
 	return js.def.Service
 }
 
-// queue returns the job's queue, or nil if it is no longer configured.
-func (s *State) queue(js *jobState) *job.Queue {
-	if s.cfg == nil {
-		return nil
-	}
-	return s.cfg.Queues[js.def.Queue]
-}
-
 // maxAttempts returns how many failed runs of a task make its job fail.
 func (s *State) maxAttempts(js *jobState) int {
-	if q := s.queue(js); q != nil {
+	if q := js.queue; q != nil {
 		return q.MaxAttempts
 	}
 	return 1
@@ -147,6 +147,9 @@
 			js.storedTasks[job.Task{Job: j.ID, Occ: t.Occ, Step: t.Step, Index: t.Index}] = t
 		}
 	}
+	if s.cfg != nil {
+		js.queue = s.cfg.Queues[j.Queue]
+	}
 	s.jobs[j.ID] = js
 	if js.outcome != job.Open {
 		js.closed = now
@@ -211,8 +214,11 @@
 
 // markChanged records that the progress of a job must be stored.
 func (s *State) markChanged(js *jobState) {
-	js.bumpVersion()
-	s.changed = true
+	js.version++
+	if !js.dirty {
+		js.dirty = true
+		s.dirty = append(s.dirty, js)
+	}
 }
 
 // Status is the state of a job as callers see it.
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -183,7 +183,6 @@
 	}
 	if left == 0 {
 		w.completed = true
-		s.changed = true
 		s.Logger.Log("msg", "wave completed", "wave", w.Number, "left", w.due.Sub(now))
 		return
 	}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -175,8 +176,9 @@
 		return nil, 0, nil, errors.Wrap(kv.ErrCompacted, prefix)
 	}
 	var events []kv.Event
-	for _, e := range s.log {
-		if e.Rev > after && strings.HasPrefix(e.Key, prefix) {
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Rev > after })
+	for _, e := range s.log[first:] {
+		if strings.HasPrefix(e.Key, prefix) {
 			events = append(events, e)
 		}
 	}
