platform, relay, job: reject odd entries and bound decoded numbers

A roster that cannot be decoded counts as unknown, not as empty. Deep nesting ended nothing: the JSON decoder refuses it.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -92,6 +93,14 @@
 	Accepted time.Time     `cbor:"9,keyasint"`
 }
 
+const (
+	// maxTasks bounds the tasks of one occurrence of a job, since the leader
+	// holds a record of each in memory.
+	maxTasks = 20_000
+	// maxRepeats bounds the occurrences of a job.
+	maxRepeats = 1_000_000
+)
+
 // Validate returns an error if the job is malformed.
 func (j *Job) Validate() error {
 	if !j.ID.Valid() {
@@ -100,11 +109,18 @@
 	if len(j.Steps) == 0 {
 		return errors.Errorf("job %s: no steps", j.ID)
 	}
+	if j.Repeats < 0 || j.Repeats > maxRepeats {
+		return errors.Errorf("job %s: %d repeats, limit %d", j.ID, j.Repeats, maxRepeats)
+	}
+	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count <= 0 {
 			return errors.Errorf("job %s: step %d: count %d", j.ID, i, s.Count)
 		}
+		if tasks += min(s.Count, maxTasks+1); tasks > maxTasks {
+			return errors.Errorf("job %s: more than %d tasks", j.ID, maxTasks)
+		}
 		for _, a := range s.DependsOn {
 			if a < 0 || a >= i {
 				return errors.Errorf("job %s: step %d: after %d, expected an earlier step", j.ID, i, a)
@@ -122,6 +138,9 @@
 	if j.Repeats == 0 {
 		return time.Time{}
 	}
+	if j.Period > 0 && time.Duration(k) > math.MaxInt64/j.Period {
+		return j.FirstDue.Add(math.MaxInt64)
+	}
 	return j.FirstDue.Add(time.Duration(k) * j.Period)
 }
 
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -19,6 +20,9 @@
 )
 
 func (o Outcome) String() string {
+	if o < Open || o > Cancelled {
+		return "outcome " + strconv.Itoa(int(o))
+	}
 	return [...]string{"open", "completed", "failed", "cancelled"}[o]
 }
 
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -83,9 +83,11 @@
 func (t *term) inheritRoster(it kv.Item) {
 	var entries []sched.RosterEntry
 	if err := cbor.Unmarshal(it.Value, &entries); err != nil {
-		t.logger.Log("msg", "roster decoding failed", "rev", int64(it.Rev), "err", err)
+		t.logger.Log("msg", "roster decoding failed, waiting for the leases of all runners", "rev", int64(it.Rev), "err", err)
+		t.state.InheritUnknownRoster()
+	} else {
+		t.state.InheritRoster(entries)
 	}
-	t.state.InheritRoster(entries)
 	t.rosterRev = it.Rev
 }
 
@@ -203,9 +205,10 @@
 	defer t.mu.Unlock()
 	listed := make(map[runner.ID]bool, len(items))
 	for _, it := range items {
-		if id, ok := t.applyRunner(ctx, it); ok {
-			listed[id] = true
-		}
+		t.applyRunner(ctx, it)
+		// An entry that cannot be decoded keeps the last registration of its
+		// runner, as it does when a watch returns it.
+		listed[runner.ID(it.Key[len(t.cfg.Registry.Prefix):])] = true
 	}
 	t.state.DeregisterRunners(func(id runner.ID) bool { return !listed[id] }, clock.Now())
 	for _, id := range t.state.UnregisteredRunners() {
@@ -216,15 +219,14 @@
 
 // applyRunner applies a runner's registration and ensures that the runner is
 // polled.
-func (t *term) applyRunner(ctx context.Context, it kv.Item) (runner.ID, bool) {
+func (t *term) applyRunner(ctx context.Context, it kv.Item) {
 	info, err := t.cfg.Registry.Decode(it.Key, it.Value)
 	if err != nil {
 		t.logger.Log("msg", "runner registration decoding failed", "key", it.Key, "rev", int64(it.Rev), "err", err)
-		return "", false
+		return
 	}
 	t.state.SetRunner(*info, clock.Now())
 	t.ensurePolled(ctx, info.ID)
-	return info.ID, true
 }
 
 // ensurePolled starts the goroutine that polls a runner, unless it is running.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -89,6 +89,22 @@
 	Report  *runner.Report   `cbor:"6,keyasint,omitempty"`
 }
 
+// check returns an error if a value is out of range.
+func (r *result) check() error {
+	if r.Outcome < replied || r.Outcome > notSent || !r.Verdict.Valid() {
+		return errors.Errorf("outcome %d or verdict %d out of range", r.Outcome, int(r.Verdict))
+	}
+	if r.Report == nil {
+		return nil
+	}
+	for i := range r.Report.Results {
+		if x := &r.Report.Results[i]; !x.Cause.Valid() || x.Seq <= 0 {
+			return errors.Errorf("result %d with cause %d out of range", x.Seq, int(x.Cause))
+		}
+	}
+	return nil
+}
+
 // err returns the error that the call would have returned without a relay.
 func (r *result) err() error {
 	switch r.Outcome {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -114,6 +114,10 @@
 		}
 		m.timeouts.Store(0)
 		for i := range rs {
+			if err := rs[i].check(); err != nil {
+				p.Logger.Log("msg", "invalid result of a relay", "relay", m.Name, "err", err)
+				rs[i] = result{Seq: rs[i].Seq, Outcome: noReply, Err: err.Error()}
+			}
 			m.deliver(&rs[i])
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,7 +78,13 @@
 	Invalid                         // the command is malformed
 )
 
+// Valid reports whether v is one of the verdicts.
+func (v Verdict) Valid() bool { return v >= Accepted && v <= Invalid }
+
 func (v Verdict) String() string {
+	if !v.Valid() {
+		return "verdict " + strconv.Itoa(int(v))
+	}
 	return [...]string{
 		"accepted", "fenced", "superseded", "expired", "no-room", "no-permit", "unhealthy", "other-life", "invalid",
 	}[v]
@@ -134,7 +141,13 @@
 	GangIncomplete // the other members of its gang did not start
 )
 
+// Valid reports whether c is one of the causes.
+func (c Cause) Valid() bool { return c >= Done && c <= GangIncomplete }
+
 func (c Cause) String() string {
+	if !c.Valid() {
+		return "cause " + strconv.Itoa(int(c))
+	}
 	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[c]
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -132,6 +132,10 @@
 	}
 }
 
+// maxOpenOccurrences bounds the occurrences of one job that are in progress. A
+// job whose first due time is long past has all of them due at once.
+const maxOpenOccurrences = 100
+
 // releaseDue creates the occurrences that are due.
 func (s *State) releaseDue(wall time.Time) {
 	for _, jobs := range s.open {
@@ -139,7 +143,7 @@
 			if js.def.Repeats == 0 {
 				continue
 			}
-			for k := len(js.occs); k < js.def.Occurrences(); k++ {
+			for k := len(js.occs); k < js.def.Occurrences() && len(js.occs)-js.finished < maxOpenOccurrences; k++ {
 				if wall.Add(s.Limits.EarlyStart / 2).Before(js.def.Due(k)) {
 					break
 				}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -75,6 +75,13 @@
 	s.RosterStored(entries)
 }
 
+// InheritUnknownRoster records that the roster of previous terms cannot be read:
+// tasks that were accepted before this term may run on unknown runners until
+// their leases have expired.
+func (s *State) InheritUnknownRoster() {
+	s.inherited[""] = &inherited{until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+}
+
 // UnregisteredRunners returns the runners that have no entry in the store, such
 // as those known only from the roster, so that they are polled.
 func (s *State) UnregisteredRunners() []runner.ID {
