--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -188,6 +188,7 @@
 
 func (s *State) handleStartReply(r *run, reply runner.Reply, now clock.BootTime) {
 	if reply.Verdict == runner.Accepted {
+		r.task.job.begun = true
 		if r.phase == starting {
 			r.phase, r.confirmedAt = running, now
 		}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -112,11 +112,14 @@
 	acceptedAt clock.BootTime // acceptance time
 	outcome    job.Outcome
 	cancelled  bool
-	started    bool
-	occs       []*occurrence // those that are due or have progress
-	finished   int           // complete occurrences
-	chain      time.Duration // estimated run time of the longest chain of tasks
-	total      float64       // estimated core-seconds of one occurrence
+	started    bool // a task was scheduled
+	// begun is set once a runner has confirmed a run. Callers count a job as
+	// waiting until then: a start may be lost with its runner.
+	begun    bool
+	occs     []*occurrence // those that are due or have progress
+	finished int           // complete occurrences
+	chain    time.Duration // estimated run time of the longest chain of tasks
+	total    float64       // estimated core-seconds of one occurrence
 	// version counts the changes of the progress; storedVersion is the version
 	// in the store.
 	version, storedVersion uint64
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -211,6 +211,7 @@
 			return
 		}
 	}
+	r.task.job.begun = true
 	if r.confirmedAt == 0 {
 		r.confirmedAt = now
 	}
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -227,3 +227,25 @@
 		t.Errorf("commands %v, want a start after another runner replied at the address", got)
 	}
 }
+
+// TestPendingUntilBegun guards against callers that are told that no job waits
+// while the starts of several were lost with their runner, seen on scale-1 of
+// bvc-routelog-large when a zone was cut off.
+func TestPendingUntilBegun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.job(1, job1)
+	starts := ofKind(f.plan(), StartRun)
+	if n := f.s.Pending("work"); len(starts) != 1 || n != 1 {
+		t.Errorf("%d starts and %d jobs pending before the reply of the runner, want 1 and 1", len(starts), n)
+	}
+	f.s.HandleReply(&starts[0], runner.Reply{}, false, true, f.now)
+	f.s.PollFailed("a", f.now)
+	if n := f.s.Pending("work"); n != 1 {
+		t.Errorf("%d jobs pending after a start without a reply, want 1", n)
+	}
+	f.report("a", runner.Run{Task: starts[0].Task, Attempt: starts[0].Attempt, Percent: 100})
+	if n := f.s.Pending("work"); n != 0 {
+		t.Errorf("%d jobs pending after the runner reported the run, want 0", n)
+	}
+}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -40,6 +40,7 @@
 		rs.remove(r)
 	}
 	t.endedAt = now
+	js.begun = true
 	if res.Checkpoint != "" {
 		t.checkpoint = res.Checkpoint
 	}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -242,13 +242,13 @@
 	return st
 }
 
-// Pending returns the number of open jobs of a queue of which no task has
-// started.
+// Pending returns the number of open jobs of a queue of which no task is known to
+// have begun.
 func (s *State) Pending(queue string) int {
 	n := 0
 	for _, jobs := range s.open {
 		for _, js := range jobs {
-			if js.def.Queue == queue && !js.started {
+			if js.def.Queue == queue && !js.begun {
 				n++
 			}
 		}
