relay, lead: start several runs with one message, poll idle runners less

One planning pass starts several tasks on one runner, since tasks are packed; each start was a call, a timer and a goroutine of its own. They now go to the relay in one message. Half of the polls were those of idle runners; their pause is six times that of busy ones, at most 2 s, and ends with a start. Full planning passes, the check of the roster and the lists of standby machines and of machines in a wave cost less: a choice of a machine scanned all machines times all machines of the waves. Steps that do not fit the largest free runner are left out before jobs are ranked.

--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -231,10 +231,11 @@
 
 // ensurePolled starts the goroutine that polls a runner, unless it is running.
 func (t *term) ensurePolled(ctx context.Context, id runner.ID) {
-	if !t.pollers[id] {
-		t.pollers[id] = true
+	if t.pollers[id] == nil {
+		wakeup := make(chan struct{}, 1)
+		t.pollers[id] = wakeup
 		t.pollerCount.Store(int64(len(t.pollers)))
-		t.spawn(func() { t.poll(ctx, id) })
+		t.spawn(func() { t.poll(ctx, id, wakeup) })
 	}
 }
 
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -36,12 +36,13 @@
 
 	mu          sync.Mutex
 	state       *sched.State
-	pollers     map[runner.ID]bool
-	pollerCount *atomic.Int64 // number of pollers; the Leader's polledRunners
+	pollers     map[runner.ID]chan struct{} // each wakes up the poller of a runner
+	pollerCount *atomic.Int64               // number of pollers; the Leader's polledRunners
 	wg          sync.WaitGroup
 
-	rosterRev  kv.Revision
-	intentsRev kv.Revision
+	rosterRev       kv.Revision
+	rosterCheckedAt clock.BootTime
+	intentsRev      kv.Revision
 }
 
 // run loads the state, works until the leadership is lost, and releases the
--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -30,6 +30,15 @@
 	// between polls if it exceeds pollInterval, so that polling many runners
 	// leaves the leader processor time for its other work.
 	pollIntervalPerRunner = 400 * time.Microsecond
+	// rosterInterval is the time between two checks of the roster. A machine that
+	// joins a pool waits for it, after a move of more than a second.
+	rosterInterval = 60 * time.Millisecond
+	// idleFactor is the pause between two polls of an idle runner in multiples of
+	// that of a busy one. A start ends the pause.
+	idleFactor = 6
+	// maxIdleInterval limits it: the runner's lease and the record of its clock
+	// must stay recent.
+	maxIdleInterval = 2 * time.Second
 	// planDelayFactor is the pause after a planning pass in multiples of the
 	// pass's duration.
 	planDelayFactor = 3
@@ -69,15 +78,80 @@
 		for _, q := range queries {
 			t.enqueue(q)
 		}
-		for i := range commands {
-			switch commands[i].Kind {
-			case sched.MaintainMachine, sched.MoveMachine:
-				t.spawn(func() { t.sendMachineCommand(ctx, commands[i]) })
-			case sched.StartRun, sched.StopRun, sched.ThrottleRun:
-				t.spawn(func() { t.sendCommand(ctx, commands[i]) })
+		t.send(ctx, commands)
+		clock.Sleep(ctx, max(minPlanDelay, planDelayFactor*took))
+	}
+}
+
+// batchStarter is implemented by clients that send several starts to a runner in
+// one message.
+type batchStarter interface {
+	StartAll(ctx context.Context, to runner.Target, t runner.Term, starts []runner.Start) []runner.StartOutcome
+}
+
+// send sends commands without waiting for their replies.
+func (t *term) send(ctx context.Context, commands []sched.Command) {
+	batcher, _ := t.cfg.Runners.(batchStarter)
+	starts := make(map[runner.ID][]sched.Command)
+	for i := range commands {
+		switch c := commands[i]; c.Kind {
+		case sched.MaintainMachine, sched.MoveMachine:
+			t.spawn(func() { t.sendMachineCommand(ctx, c) })
+		case sched.StartRun:
+			t.wakePoller(c.To.ID)
+			if batcher != nil {
+				starts[c.To.ID] = append(starts[c.To.ID], c)
+				continue
 			}
+			t.spawn(func() { t.sendCommand(ctx, c) })
+		case sched.StopRun, sched.ThrottleRun:
+			t.spawn(func() { t.sendCommand(ctx, c) })
 		}
-		clock.Sleep(ctx, max(minPlanDelay, planDelayFactor*took))
+	}
+	for _, batch := range starts {
+		t.spawn(func() { t.sendStarts(ctx, batcher, batch) })
+	}
+}
+
+// maxStarts bounds the starts of one message, which waits for the reply to each.
+const maxStarts = 16
+
+// sendStarts sends starts on one runner together. Those that must be sent again
+// are sent one by one.
+func (t *term) sendStarts(ctx context.Context, batcher batchStarter, batch []sched.Command) {
+	if len(batch) > maxStarts {
+		t.spawn(func() { t.sendStarts(ctx, batcher, batch[maxStarts:]) })
+		batch = batch[:maxStarts]
+	}
+	var starts []runner.Start
+	var commands []sched.Command
+	t.mu.Lock()
+	now := clock.Now()
+	for i := range batch {
+		if s, needed := t.state.Prepare(&batch[i], now); needed {
+			starts, commands = append(starts, s), append(commands, batch[i])
+		}
+	}
+	t.mu.Unlock()
+	if len(starts) == 0 {
+		return
+	}
+	for i, o := range batcher.StartAll(ctx, commands[0].To, t.id, starts) {
+		c := commands[i]
+		t.logFailure(ctx, &c, o.Err)
+		if t.handleReply(&c, o.Reply, o.Err) {
+			t.spawn(func() {
+				clock.Sleep(ctx, commandRetryDelay)
+				t.sendCommand(ctx, c)
+			})
+		}
+	}
+}
+
+// logFailure logs a command that got no reply, unless the term has ended.
+func (t *term) logFailure(ctx context.Context, c *sched.Command, err error) {
+	if err != nil && ctx.Err() == nil {
+		t.logger.Log("msg", "command failed", "kind", c.Kind, "task", c.Task, "attempt", c.Attempt, "runner", c.To.ID, "err", err)
 	}
 }
 
@@ -103,9 +177,7 @@
 		case sched.MaintainMachine, sched.MoveMachine:
 			return // sendMachineCommand sends these
 		}
-		if err != nil && ctx.Err() == nil {
-			t.logger.Log("msg", "command failed", "kind", c.Kind, "task", c.Task, "attempt", c.Attempt, "runner", c.To.ID, "err", err)
-		}
+		t.logFailure(ctx, &c, err)
 		if !t.handleReply(&c, reply, err) {
 			return
 		}
@@ -146,11 +218,24 @@
 	return false
 }
 
+// wakePoller ends the pause of an idle runner's poller, because a run is started
+// there.
+func (t *term) wakePoller(id runner.ID) {
+	t.mu.Lock()
+	wakeup := t.pollers[id]
+	t.mu.Unlock()
+	select {
+	case wakeup <- struct{}{}:
+	default: // also if there is no poller
+	}
+}
+
 // poll polls one runner until the state no longer tracks it.
-func (t *term) poll(ctx context.Context, id runner.ID) {
+func (t *term) poll(ctx context.Context, id runner.ID, wakeup <-chan struct{}) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
-		interval := time.Duration(len(t.pollers)) * pollIntervalPerRunner
+		interval := max(pollInterval, time.Duration(len(t.pollers))*pollIntervalPerRunner)
+		idle := t.state.Idle(id)
 		req, ok := t.state.Poll(id, clock.Now())
 		if !ok {
 			delete(t.pollers, id)
@@ -175,14 +260,28 @@
 			}
 		}
 		t.mu.Unlock()
-		if rep == nil {
+		switch {
+		case rep == nil:
 			clock.Sleep(ctx, pollRetryDelay)
-		} else {
-			clock.Sleep(ctx, max(pollInterval, interval))
+		case idle && len(rep.Running) == 0:
+			pause(ctx, min(idleFactor*interval, maxIdleInterval), wakeup)
+		default:
+			clock.Sleep(ctx, interval)
 		}
 	}
 }
 
+// pause waits for d, for a wakeup or for the end of the context.
+func pause(ctx context.Context, d time.Duration, wakeup <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wakeup:
+	case <-ctx.Done():
+	}
+}
+
 // flushLoop stores progress as it changes.
 func (t *term) flushLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -206,8 +305,11 @@
 // deletes expired jobs, and stores the intents, the status of waves and up to
 // maxProgressRows rows of progress. It returns the number of rows.
 func (t *term) flush(ctx context.Context) (int, error) {
-	if err := t.storeRoster(ctx); err != nil {
-		return 0, err
+	if now := clock.Now(); now.Sub(t.rosterCheckedAt) >= rosterInterval {
+		if err := t.storeRoster(ctx); err != nil {
+			return 0, err
+		}
+		t.rosterCheckedAt = now
 	}
 	if err := t.confirm(ctx); err != nil {
 		return 0, err
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -43,6 +43,7 @@
 	stopRun
 	throttleRun
 	pollRunner
+	startRuns
 )
 
 // hello is the first message of a relay.
@@ -68,6 +69,18 @@
 	Acked      int              `cbor:"12,keyasint,omitempty"`
 	Wait       time.Duration    `cbor:"13,keyasint,omitempty"`
 	Percent    int              `cbor:"14,keyasint,omitempty"`
+	Starts     []start          `cbor:"15,keyasint,omitempty"` // of startRuns
+	Specs      []string         `cbor:"16,keyasint,omitempty"` // of startRuns
+}
+
+// start is one of several starts on a runner.
+type start struct {
+	_          struct{} `cbor:",toarray"`
+	Task       job.Task
+	Attempt    int
+	Spec       int // index in Specs, since several tasks of a job have the same
+	Checkpoint string
+	Permit     string
 }
 
 // outcome is the outcome of a call at the relay.
@@ -87,6 +100,16 @@
 	Verdict runner.Verdict   `cbor:"4,keyasint,omitempty"`
 	Clock   clock.RunnerTime `cbor:"5,keyasint,omitempty"`
 	Report  *runner.Report   `cbor:"6,keyasint,omitempty"`
+	Starts  []startOutcome   `cbor:"7,keyasint,omitempty"` // of startRuns
+}
+
+// startOutcome is the outcome of one of several starts.
+type startOutcome struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome outcome
+	Err     string
+	Verdict runner.Verdict
+	Clock   clock.RunnerTime
 }
 
 // check returns an error if a value is out of range.
@@ -94,6 +117,11 @@
 	if r.Outcome < replied || r.Outcome > notSent || !r.Verdict.Valid() {
 		return errors.Errorf("outcome %d or verdict %d out of range", r.Outcome, int(r.Verdict))
 	}
+	for i := range r.Starts {
+		if x := &r.Starts[i]; x.Outcome < replied || x.Outcome > notSent || !x.Verdict.Valid() {
+			return errors.Errorf("outcome %d or verdict %d of a start out of range", x.Outcome, int(x.Verdict))
+		}
+	}
 	if r.Report == nil {
 		return nil
 	}
@@ -106,17 +134,30 @@
 }
 
 // err returns the error that the call would have returned without a relay.
-func (r *result) err() error {
-	switch r.Outcome {
+func (r *result) err() error { return r.Outcome.error(r.Err) }
+
+func (o outcome) error(text string) error {
+	switch o {
 	case noReply:
-		return errors.Wrap(runner.ErrNoResponse, r.Err)
+		return errors.Wrap(runner.ErrNoResponse, text)
 	case notSent:
-		return errors.Wrap(runner.ErrUnreachable, r.Err)
+		return errors.Wrap(runner.ErrUnreachable, text)
 	case replied:
 	}
 	return nil
 }
 
+// outcomeOf returns the outcome of a call to a runner and the text of its error.
+func outcomeOf(err error) (outcome, string) {
+	switch {
+	case err == nil:
+		return replied, ""
+	case errors.Is(err, runner.ErrUnreachable):
+		return notSent, err.Error()
+	}
+	return noReply, err.Error()
+}
+
 // writeBatches sends the values of the channel until the context ends or a write
 // fails. The first value of a message waits for others until delay has passed.
 func writeBatches[T any](ctx context.Context, c *websocket.Conn, values <-chan T, delay time.Duration) error {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -312,6 +312,47 @@
 	})
 }
 
+// StartAll starts several runs on a runner. The lease of all is the latest of
+// theirs.
+func (p *Pool) StartAll(ctx context.Context, to runner.Target, t runner.Term, starts []runner.Start) []runner.StartOutcome {
+	outcomes := make([]runner.StartOutcome, len(starts))
+	m := p.pick(to)
+	if m == nil {
+		var wg sync.WaitGroup
+		for i := range starts {
+			wg.Go(func() {
+				outcomes[i].Reply, outcomes[i].Err = p.Direct.Start(ctx, to, t, starts[i])
+			})
+		}
+		wg.Wait()
+		return outcomes
+	}
+	c := call{Kind: startRuns, Runner: to.ID, Addr: to.Addr, Term: t}
+	for _, s := range starts {
+		spec := slices.Index(c.Specs, s.Spec)
+		if spec < 0 {
+			spec = len(c.Specs)
+			c.Specs = append(c.Specs, s.Spec)
+		}
+		c.Starts = append(c.Starts, start{Task: s.Task, Attempt: s.Attempt, Spec: spec, Checkpoint: s.Checkpoint, Permit: s.Permit})
+		c.LeaseUntil = max(c.LeaseUntil, s.LeaseUntil)
+	}
+	r := m.do(ctx, c, commandTimeout)
+	err := r.err()
+	if err == nil && len(r.Starts) != len(starts) {
+		err = errors.Wrapf(runner.ErrNoResponse, "%d outcomes of %d starts through relay %s", len(r.Starts), len(starts), m.Name)
+	}
+	for i := range outcomes {
+		if err != nil {
+			outcomes[i].Err = err
+			continue
+		}
+		x := &r.Starts[i]
+		outcomes[i] = runner.StartOutcome{Reply: runner.Reply{Verdict: x.Verdict, Clock: x.Clock}, Err: x.Outcome.error(x.Err)}
+	}
+	return outcomes
+}
+
 // Stop stops a run.
 func (p *Pool) Stop(ctx context.Context, to runner.Target, t runner.Term, task job.Task, attempt int) (runner.Reply, error) {
 	m := p.pick(to)
--- a/internal/relay/recorded_test.go
+++ b/internal/relay/recorded_test.go
@@ -46,6 +46,9 @@
 		{"start", func() error { _, err := p.Start(ctx, to, 70, recorded.New[runner.Start]()); return err }},
 		{"stop", func() error { _, err := p.Stop(ctx, to, 71, task, 72); return err }},
 		{"pace", func() error { _, err := p.Throttle(ctx, to, 73, task, 74, 75); return err }},
+		{"starts", func() error {
+			return p.StartAll(ctx, to, 78, []runner.Start{recorded.New[runner.Start]()})[0].Err
+		}},
 		{"look", func() error { _, _, err := p.Poll(ctx, to, 76, recorded.New[runner.PollRequest]()); return err }},
 	} {
 		name := x.name
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -235,3 +235,39 @@
 		t.Errorf("%d relays of two zones, want %d", got, 2*minRelays)
 	}
 }
+
+// TestStartsTogether guards against starts in one message that are carried out
+// with the content or reported with the outcome of another.
+func TestStartsTogether(t *testing.T) {
+	r := newFixture(t, "a")
+	r.relays["a"].reply = runner.Reply{Verdict: runner.NoCapacity, Clock: 7}
+	starts := make([]runner.Start, 3)
+	for i := range starts {
+		starts[i] = runner.Start{Task: job.Task{Job: "0123456789abcdef", Index: i}, Attempt: i + 1, Spec: strings.Repeat("s", i/2)}
+	}
+	for i, o := range r.pool.StartAll(t.Context(), target("a"), 5, starts) {
+		if o.Err != nil || o.Reply != r.relays["a"].reply {
+			t.Errorf("start %d: %+v", i, o)
+		}
+	}
+	if n := r.relays["a"].calls.Load(); n != 3 {
+		t.Errorf("%d calls, want 3", n)
+	}
+	r.relays["a"].err = errors.Wrap(runner.ErrUnreachable, "call")
+	for i, o := range r.pool.StartAll(t.Context(), target("a"), 5, starts) {
+		if !errors.Is(o.Err, runner.ErrUnreachable) {
+			t.Errorf("start %d returned %v, want unreachable", i, o.Err)
+		}
+	}
+	r.relays["a"].hanging.Store(true)
+	for i, o := range r.pool.StartAll(t.Context(), target("a"), 5, starts) {
+		if !errors.Is(o.Err, runner.ErrNoResponse) {
+			t.Errorf("start %d without a reply returned %v, want no response", i, o.Err)
+		}
+	}
+	r.stop()
+	r.waitRelays(t, 0)
+	if o := r.pool.StartAll(t.Context(), target("a"), 5, starts); len(o) != 3 || o[2].Err != nil || r.direct.calls.Load() != 3 {
+		t.Errorf("starts without a relay: %+v, %d direct calls", o, r.direct.calls.Load())
+	}
+}
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -131,15 +132,35 @@
 		reply, err = w.Runners.Throttle(ctx, to, c.Term, c.Task, c.Attempt, c.Percent)
 	case pollRunner:
 		rep, reply, err = w.Runners.Poll(ctx, to, c.Term, runner.PollRequest{LeaseUntil: c.LeaseUntil, Acked: c.Acked, Wait: c.Wait})
+	case startRuns:
+		return result{Seq: c.Seq, Starts: w.startAll(ctx, to, c)}
 	default:
 		err = errors.Wrapf(runner.ErrUnreachable, "call of kind %d", c.Kind)
 	}
 	r := result{Seq: c.Seq, Verdict: reply.Verdict, Clock: reply.Clock, Report: rep}
-	switch {
-	case errors.Is(err, runner.ErrUnreachable):
-		r.Outcome, r.Err = notSent, err.Error()
-	case err != nil:
-		r.Outcome, r.Err = noReply, err.Error()
-	}
+	r.Outcome, r.Err = outcomeOf(err)
 	return r
 }
+
+// startAll makes several starts on a runner at once.
+func (w *Worker) startAll(ctx context.Context, to runner.Target, c *call) []startOutcome {
+	outcomes := make([]startOutcome, len(c.Starts))
+	var wg sync.WaitGroup
+	for i := range c.Starts {
+		x := &c.Starts[i]
+		if x.Spec < 0 || x.Spec >= len(c.Specs) {
+			outcomes[i] = startOutcome{Outcome: notSent, Err: "invalid index of a spec"}
+			continue
+		}
+		wg.Go(func() {
+			reply, err := w.Runners.Start(ctx, to, c.Term, runner.Start{
+				Task: x.Task, Attempt: x.Attempt, Spec: c.Specs[x.Spec], LeaseUntil: c.LeaseUntil, Checkpoint: x.Checkpoint, Permit: x.Permit,
+			})
+			o := startOutcome{Verdict: reply.Verdict, Clock: reply.Clock}
+			o.Outcome, o.Err = outcomeOf(err)
+			outcomes[i] = o
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -178,6 +178,12 @@
 	Zone string // availability zone; empty if unknown
 }
 
+// StartOutcome is the outcome of one of several starts: a reply or an error.
+type StartOutcome struct {
+	Reply Reply
+	Err   error
+}
+
 // Client sends commands to runners, with the term of the leader. A command
 // without a reply returns ErrNoResponse, or ErrUnreachable if it was not sent.
 type Client interface {
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -52,30 +53,43 @@
 
 // standbyMachine returns a powered-off machine that can join a pool, or nil.
 func (s *State) standbyMachine(to string, now clock.BootTime) *machineState {
-	var best *machineState
-	for _, ms := range s.machineStates {
-		svc := s.cfg.Services[ms.Pool]
-		if svc == nil || !svc.Standby || !s.movable(ms, to, now) {
-			continue
-		}
-		if best == nil || ms.ID < best.ID {
-			best = ms
+	for _, ms := range s.standby {
+		if s.movable(ms, to, now) {
+			return ms
 		}
 	}
-	return best
+	return nil
 }
 
-// movable reports whether a machine may be moved to a pool.
-func (s *State) movable(ms *machineState, to string, now clock.BootTime) bool {
-	if ms.movingTo != "" || ms.State != machine.Up || ms.unfit[to] || ms.notBefore.After(now) {
-		return false
+// indexStandby lists the machines of the standby pools, ordered by ID.
+func (s *State) indexStandby() {
+	s.standby = s.standby[:0]
+	for _, ms := range s.machineStates {
+		if svc := s.cfg.Services[ms.Pool]; svc != nil && svc.Standby && ms.movingTo == "" {
+			s.standby = append(s.standby, ms)
+		}
 	}
+	slices.SortFunc(s.standby, func(a, b *machineState) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// indexMaintenances lists the machines that a wave has taken and that have not
+// returned.
+func (s *State) indexMaintenances() {
+	clear(s.maintained)
 	for _, w := range s.waves {
 		for _, m := range w.maintenances {
-			if m.id == ms.ID && m.phase != waiting && m.phase != returned {
-				return false
+			if m.phase != waiting && m.phase != returned {
+				s.maintained[m.id] = true
 			}
 		}
 	}
-	return true
+}
+
+// movable reports whether a machine may be moved to a pool, by the index of
+// indexMaintenances.
+func (s *State) movable(ms *machineState, to string, now clock.BootTime) bool {
+	if ms.movingTo != "" || ms.State != machine.Up || ms.unfit[to] || ms.notBefore.After(now) {
+		return false
+	}
+	return !s.maintained[ms.ID]
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -12,7 +12,7 @@
 // place starts the tasks that fit on the usable runners of a service.
 func (s *State) place(runners []*runnerState, jobs []*jobState, now clock.BootTime) {
 	maxFree := largestFree(runners)
-	for _, c := range s.candidates(jobs, now) {
+	for _, c := range s.candidates(jobs, maxFree, now) {
 		for _, st := range c.occ.steps {
 			if st.complete() || !c.occ.ready(st) {
 				continue
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -14,7 +14,7 @@
 	if s.cfg == nil {
 		return
 	}
-	full := now.Sub(s.lastFullPlan) >= fullPlanInterval
+	full := now.Sub(s.lastFullPlan) >= max(fullPlanInterval, time.Duration(len(s.runners))*fullPlanPerRunner)
 	if full {
 		s.lastFullPlan = now
 		s.recordIdle(now)
@@ -82,6 +82,10 @@
 // what changes slowly: leases, repeated commands, waves, pools and throttling.
 const fullPlanInterval = 30 * time.Millisecond
 
+// fullPlanPerRunner times the number of runners is that time if it is longer,
+// since the cost of a full pass grows with them.
+const fullPlanPerRunner = 60 * time.Microsecond
+
 // returnGrace is the delay before a task that is not long-running is started
 // again after the lease of its run expired. The runner may become reachable
 // again with a result of that run, and a second run would then be wasted.
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -82,6 +82,8 @@
 	for _, ms := range s.machineStates {
 		s.advanceMove(ms, now)
 	}
+	s.indexMaintenances()
+	s.indexStandby()
 	s.powerOffUnusable(now)
 	ds := s.poolDemands(now)
 	s.scaleToFleet(ds)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
 
 // candidate is an occurrence with tasks to start, and what it is ranked by.
@@ -17,13 +18,14 @@
 	coreSeconds   float64 // remaining work in core-seconds
 }
 
-// candidates returns the occurrences that have tasks to start, best first.
-func (s *State) candidates(jobs []*jobState, now clock.BootTime) []candidate {
+// candidates returns the occurrences that have tasks to start which fit into
+// maxFree, best first.
+func (s *State) candidates(jobs []*jobState, maxFree job.Resources, now clock.BootTime) []candidate {
 	var cs []candidate
 	for _, js := range jobs {
 		q := js.queue
 		for _, o := range js.occs {
-			if !s.hasStartable(o, now) {
+			if !s.hasStartable(o, maxFree, now) {
 				continue
 			}
 			c := candidate{occ: o, longRunning: js.def.LongRunning()}
@@ -87,10 +89,11 @@
 	return 1
 }
 
-// hasStartable reports whether an occurrence has a task to start.
-func (s *State) hasStartable(o *occurrence, now clock.BootTime) bool {
+// hasStartable reports whether an occurrence has a task to start that fits into
+// maxFree.
+func (s *State) hasStartable(o *occurrence, maxFree job.Resources, now clock.BootTime) bool {
 	for _, st := range o.steps {
-		if st.complete() || !o.ready(st) {
+		if st.complete() || !st.spec.Demand().Fits(maxFree) || !o.ready(st) {
 			continue
 		}
 		for _, t := range st.tasks {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -149,6 +149,12 @@
 	return p, true
 }
 
+// Idle reports whether a runner has no runs.
+func (s *State) Idle(id runner.ID) bool {
+	rs := s.runners[id]
+	return rs != nil && len(rs.runs) == 0
+}
+
 const (
 	// busyPollWait is how long a poll waits at a runner that has runs. It
 	// limits the age of the state of its runs.
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -62,11 +62,13 @@
 	closed         []*jobState // jobs with an outcome, the earliest first
 	waves          map[int]*wave
 	machineStates  map[machine.ID]*machineState
-	listedAt       clock.BootTime     // when the machines were last listed
-	inputCurrentAt clock.BootTime     // time up to which the input is complete
-	shortage       bool               // a pool has fewer machines than its timely work needs
-	poolsLoggedAt  clock.BootTime     // when the pools were last logged
-	arrivals       map[string]arrival // by pool
+	listedAt       clock.BootTime      // when the machines were last listed
+	inputCurrentAt clock.BootTime      // time up to which the input is complete
+	shortage       bool                // a pool has fewer machines than its timely work needs
+	poolsLoggedAt  clock.BootTime      // when the pools were last logged
+	arrivals       map[string]arrival  // by pool
+	maintained     map[machine.ID]bool // see indexMaintenances
+	standby        []*machineState     // see indexStandby
 	intents        map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
@@ -81,7 +83,7 @@
 		Term: t, Limits: l, Logger: logger, startedAt: now, inputCurrentAt: now,
 		jobs: make(map[job.ID]*jobState), open: make(map[string][]*jobState),
 		runners: make(map[runner.ID]*runnerState), byMachine: make(map[machine.ID]*runnerState), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), lastCommandEnd: make(map[machine.ID]clock.BootTime),
+		waves: make(map[int]*wave), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), lastCommandEnd: make(map[machine.ID]clock.BootTime),
 	}
 }
 
