sched: hold runners for long-running tasks that must leave a full pool

Batch tasks used all capacity that became free between two full planning passes, so the task fitted nowhere when the wave was planned.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 )
@@ -19,10 +21,44 @@
 // one, up to the MaxUnavailable of their steps.
 func (s *State) evacuate(rs *runnerState, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
-		if r.task.step.spec.LongRunning && r.phase != stopping && s.mayInterrupt(r.task) && s.placeable(r.task, now) {
+		if !r.task.step.spec.LongRunning || r.phase == stopping || !s.mayInterrupt(r.task) {
+			continue
+		}
+		if s.placeable(r.task, now) {
 			s.stop(r, "runner evacuated")
+		} else {
+			s.unplaced[s.service(r.task.job)]++
+		}
+	}
+}
+
+const (
+	// tasksPerHeldRunner is how many long-running tasks a runner that is held
+	// for them is expected to take.
+	tasksPerHeldRunner = 4
+	// holdTime is how long a runner is held. It is extended while it is needed.
+	holdTime = time.Second
+)
+
+// holdRunners keeps batch tasks off some runners of the pools in which
+// long-running tasks must leave their runner and fit nowhere. In a full pool,
+// each capacity that becomes free would otherwise be used by waiting batch tasks
+// at once, and a machine could not leave for its maintenance in time.
+func (s *State) holdRunners(now clock.BootTime) {
+	for pool, n := range s.unplaced {
+		want := (n + tasksPerHeldRunner - 1) / tasksPerHeldRunner
+		runners := slices.DeleteFunc(slices.Clone(s.byPool[pool]), func(rs *runnerState) bool { return !s.usable(rs, now) })
+		slices.SortStableFunc(runners, func(a, b *runnerState) int {
+			return cmp.Or(
+				-compareBool(a.heldUntil.After(now), b.heldUntil.After(now)),
+				cmp.Compare(b.free().CPU, a.free().CPU),
+			)
+		})
+		for _, rs := range runners[:min(want, len(runners))] {
+			rs.heldUntil = now.Add(holdTime)
 		}
 	}
+	clear(s.unplaced)
 }
 
 // placeable reports whether a task could run on a usable runner.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -120,7 +120,7 @@
 	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) {
 		return false
 	}
-	if rs.runs[t.name] != nil {
+	if rs.runs[t.name] != nil || !sp.LongRunning && rs.heldUntil.After(now) {
 		return false
 	}
 	return sp.PerRunner == 0 || runsOfStep(rs, t) < sp.PerRunner
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -41,6 +41,7 @@
 	idleSince        clock.BootTime // since when it has no runs
 	expiredAt        clock.BootTime // when its lease was first seen to be expired
 	cordoned         bool           // leaves for planned maintenance: no new starts
+	heldUntil        clock.BootTime // only long-running tasks are started before this time
 	health           health
 	lastReply        clock.BootTime
 }
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -165,6 +165,7 @@
 	for _, n := range numbers {
 		s.planWave(s.waves[n], now)
 	}
+	s.holdRunners(now)
 }
 
 func (s *State) planWave(w *wave, now clock.BootTime) {
