platform, lead, entry, job: act only within a permission, keep times and keys

Reported by other operators or found by reading, each with a test that failed first: - A process that was paused between the check of its lease and the send could command a machine after its lease had ended. After an unknown outcome the transaction was repeated without a pause, and after its context had ended for ever; a stopping writer now waits for open transactions.

The recorded form of a job changes by its times; older daemons read it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -117,3 +117,71 @@
 	s.Put("config", []byte("9"))
 	await(9)
 }
+
+// strictStore rejects transactions with a repeated key, as the platform may, and
+// blocks commits until it is released.
+type strictStore struct {
+	*store.Store
+	release chan struct{}
+}
+
+func (s strictStore) Commit(ctx context.Context, t kv.Txn) (kv.Revision, error) {
+	<-s.release
+	seen := make(map[string]bool)
+	for _, w := range t.Writes {
+		if seen[w.Key] {
+			return 0, errors.Wrap(kv.ErrRejected, "repeated key")
+		}
+		seen[w.Key] = true
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// TestSameJobInOneBatch guards against a job that is rejected together with the
+// others of its batch, because its caller submitted it twice within
+// milliseconds.
+func TestSameJobInOneBatch(t *testing.T) {
+	s := strictStore{&store.Store{}, make(chan struct{})}
+	w := entry.NewJobWriter(s, log.NewNopLogger())
+	verdicts := make(chan entry.Verdict, 3)
+	for _, id := range []job.ID{"00000000000000ac", "00000000000000ac", "00000000000000ad"} {
+		go func() { verdicts <- w.Submit(context.Background(), newJob(id), time.Now().Add(time.Minute)) }()
+	}
+	run(t, w.Run)
+	close(s.release)
+	for range 3 {
+		if v := <-verdicts; v != entry.Accepted {
+			t.Errorf("verdict %v, want accepted", v)
+		}
+	}
+}
+
+// silentStore never answers a commit.
+type silentStore struct {
+	*store.Store
+	commits chan struct{}
+}
+
+func (s silentStore) Commit(context.Context, kv.Txn) (kv.Revision, error) {
+	s.commits <- struct{}{}
+	return 0, errors.Wrap(kv.ErrUnknown, "no response")
+}
+
+// TestWriterEndsWithItsContext guards against a writer that repeats a
+// transaction of unknown outcome after it was stopped.
+func TestWriterEndsWithItsContext(t *testing.T) {
+	s := silentStore{&store.Store{}, make(chan struct{})}
+	w := entry.NewJobWriter(s, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = w.Run(ctx) }() // the error is that of the context
+	verdict := make(chan entry.Verdict, 1)
+	go func() {
+		verdict <- w.Submit(context.Background(), newJob("00000000000000ae"), time.Now().Add(time.Hour))
+	}()
+	<-s.commits
+	cancel()
+	if v := <-verdict; v != entry.Unknown {
+		t.Errorf("verdict %v, want unknown", v)
+	}
+	<-w.Done()
+}
--- a/internal/entry/job_writer.go
+++ b/internal/entry/job_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -43,6 +44,17 @@
 	deadline       time.Time
 	verdict        chan Verdict
 	outcomeUnknown bool // an earlier transaction may have stored it
+	// repeats are submissions of the same key in the same batch, which get the
+	// same verdict: a transaction must not contain a key twice.
+	repeats []*pendingWrite
+}
+
+// resolve sends the verdict to the submission and its repeats.
+func (p *pendingWrite) resolve(v Verdict) {
+	p.verdict <- v
+	for _, r := range p.repeats {
+		r.verdict <- v
+	}
 }
 
 // JobWriter stores jobs in batches.
@@ -65,6 +77,8 @@
 // Run stores jobs until the context ends.
 func (w *JobWriter) Run(ctx context.Context) error {
 	defer close(w.done)
+	var open sync.WaitGroup
+	defer open.Wait()
 	sem := make(chan struct{}, maxOpenTxns)
 	for {
 		select {
@@ -73,10 +87,10 @@
 		case first := <-w.queue:
 			batch := w.collect(ctx, first)
 			sem <- struct{}{}
-			go func() {
+			open.Go(func() {
 				defer func() { <-sem }()
 				w.store(ctx, batch)
-			}()
+			})
 		}
 	}
 }
@@ -89,7 +103,7 @@
 	for len(batch) < maxBatch {
 		select {
 		case p := <-w.queue:
-			batch = append(batch, p)
+			batch = add(batch, p)
 		case <-t.C:
 			return batch
 		case <-ctx.Done():
@@ -99,6 +113,20 @@
 	return batch
 }
 
+// add adds a submission to a batch.
+func add(batch []*pendingWrite, p *pendingWrite) []*pendingWrite {
+	for _, first := range batch {
+		if first.key == p.key {
+			first.repeats = append(first.repeats, p)
+			if p.deadline.After(first.deadline) {
+				first.deadline = p.deadline
+			}
+			return batch
+		}
+	}
+	return append(batch, p)
+}
+
 // Submit stores a job and waits for the verdict until the deadline.
 func (w *JobWriter) Submit(ctx context.Context, j *job.Job, deadline time.Time) Verdict {
 	b, err := job.EncodeJob(j)
@@ -129,9 +157,11 @@
 	return Unknown
 }
 
-// store commits a batch. It repeats the transaction until all jobs have a verdict.
+// store commits a batch. It repeats the transaction until all jobs have a verdict
+// or the context ends.
 func (w *JobWriter) store(ctx context.Context, batch []*pendingWrite) {
-	for len(batch) > 0 {
+	defer func() { resolveAll(batch, Unknown) }()
+	for len(batch) > 0 && ctx.Err() == nil {
 		t := kv.Txn{}
 		for _, p := range batch {
 			t.Conds = append(t.Conds, kv.Cond{Key: p.key})
@@ -142,12 +172,12 @@
 		switch {
 		case err == nil:
 			resolveAll(batch, Accepted)
-			return
+			batch = nil
 		case errors.As(err, &conflict):
 			remainder := batch[:0:0]
 			for _, p := range batch {
 				if conflict.Find(p.key).Rev != 0 {
-					p.verdict <- Accepted
+					p.resolve(Accepted)
 				} else {
 					remainder = append(remainder, p)
 				}
@@ -163,13 +193,14 @@
 				p.outcomeUnknown = true
 			}
 			batch = w.resolveExpired(batch)
+			clock.Sleep(ctx, retryDelay)
 		}
 	}
 }
 
 func resolveAll(batch []*pendingWrite, v Verdict) {
 	for _, p := range batch {
-		p.verdict <- v
+		p.resolve(v)
 	}
 }
 
@@ -180,7 +211,7 @@
 	remainder := batch[:0:0]
 	for _, p := range batch {
 		if !p.outcomeUnknown {
-			p.verdict <- Rejected
+			p.resolve(Rejected)
 		} else {
 			remainder = append(remainder, p)
 		}
@@ -194,7 +225,7 @@
 	remainder := batch[:0:0]
 	for _, p := range batch {
 		if time.Now().After(p.deadline) {
-			p.verdict <- Unknown
+			p.resolve(Unknown)
 		} else {
 			remainder = append(remainder, p)
 		}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -49,9 +49,19 @@
 // HasFailed reports whether the failure of an attempt is already counted.
 func (p *TaskProgress) HasFailed(attempt int) bool { return slices.Contains(p.Failed, attempt) }
 
+// jobEncoding keeps the microseconds of times. The default encoding drops
+// fractions of a second, so that an occurrence read back would be due early.
+var jobEncoding = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic("job: invalid encoding options: " + err.Error())
+	}
+	return m
+}()
+
 // EncodeJob returns the stored form of a job.
 func EncodeJob(j *Job) ([]byte, error) {
-	b, err := cbor.Marshal(j)
+	b, err := jobEncoding.Marshal(j)
 	return b, errors.Wrapf(err, "encode job %s", j.ID)
 }
 
--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -77,11 +77,11 @@
 	if _, err := l.cfg.Store.Get(ctx, job.LeaderKey); !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
+	sent := clock.Now() // the lease may run from the arrival of the call
 	lease, ttl, err := l.cfg.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return errors.Wrap(err, "campaign")
 	}
-	granted := clock.Now()
 	value, err := cbor.Marshal(l.cfg.Self)
 	if err != nil {
 		return errors.Wrap(err, "campaign")
@@ -108,7 +108,7 @@
 		return errors.Wrap(err, "campaign")
 	}
 	l.setHolder(&l.cfg.Self)
-	return l.lead(ctx, runner.Term(rev), lease, ttl, granted)
+	return l.lead(ctx, runner.Term(rev), lease, ttl, sent)
 }
 
 const (
@@ -129,7 +129,7 @@
 }
 
 // lead runs one term until the leadership is lost or the context ends.
-func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, granted clock.BootTime) error {
+func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, requested clock.BootTime) error {
 	logger := log.With(l.cfg.Logger, "term", int64(termID))
 	logger.Log("msg", "term started", "ttl", ttl)
 	limits := l.cfg.Limits
@@ -147,7 +147,7 @@
 		machineLimiter: rate.NewLimiter(l.cfg.MachineCommandRate, machineBurst),
 		state:          sched.New(termID, clock.Now(), limits, logger),
 	}
-	t.renewed.Store(int64(granted))
+	t.renewed.Store(int64(requested))
 	// The state of the leader is long-lived, and collecting it costs time that
 	// decisions wait for. Other daemons keep the default and a small heap.
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -186,10 +186,10 @@
 	return nil
 }
 
-// leaseValid reports whether the lease is certain to stay valid for
-// leaseMargin.
-func (t *term) leaseValid() bool {
-	return clock.Now().Sub(clock.BootTime(t.renewed.Load())) < t.ttl-leaseMargin
+// commandsUntil returns the time before which the lease is certain to stay valid
+// for leaseMargin, so that commands may be sent to machines.
+func (t *term) commandsUntil() clock.BootTime {
+	return clock.BootTime(t.renewed.Load()).Add(t.ttl - leaseMargin)
 }
 
 // listInterval is the time between two listings of the machines. Runners report
@@ -221,12 +221,12 @@
 	if err := t.machineLimiter.Wait(ctx); err != nil {
 		return // the term has ended
 	}
-	h := machine.Holder{Name: t.cfg.Self.Name, Term: t.id}
+	h := machine.Holder{Name: t.cfg.Self.Name, Term: t.id, Until: t.commandsUntil()}
 	v, err := machine.Rejected, error(nil)
 	switch {
 	case t.cfg.Machines == nil:
 		v = machine.Unknown
-	case !t.leaseValid():
+	case !h.Until.After(clock.Now()):
 		t.logger.Log("msg", "machine command not sent: leader lease expired or about to expire", "machine", c.Machine)
 	case c.Kind == sched.MaintainMachine:
 		v, err = t.cfg.Machines.Maintain(ctx, h, c.Machine, c.Wave)
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -27,7 +27,7 @@
 	logger log.Logger
 	end    context.CancelCauseFunc
 	// renewed is the boot-clock time at which the last successful renewal was
-	// sent; until the first one, at which the reply to the grant was received.
+	// sent; until the first one, at which the lease was requested.
 	renewed       atomic.Int64
 	wakeup        chan struct{}
 	policyQueries chan sched.PolicyQuery
--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -131,3 +131,46 @@
 		t.Errorf("%d commands after the intent is stored, want 1", len(cs))
 	}
 }
+
+// slowStore records when a lease was requested, and renews none.
+type slowStore struct {
+	*store.Store
+	granted chan clock.BootTime
+}
+
+func (s slowStore) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, time.Duration, error) {
+	l, ttl, err := s.Store.Grant(ctx, ttl)
+	s.granted <- clock.Now()
+	return l, ttl, err
+}
+
+func (s slowStore) Renew(context.Context, kv.Lease) error {
+	return errors.Wrap(kv.ErrRejected, "not renewed")
+}
+
+// TestLeaseCountsFromRequest guards against a leader that counts its lease from
+// the reply to the grant: after a slow reply it would send commands to machines
+// with a lease that has ended.
+func TestLeaseCountsFromRequest(t *testing.T) {
+	s := slowStore{&store.Store{}, make(chan clock.BootTime, 1)}
+	l := New(Config{
+		Store: s, Logger: log.NewNopLogger(), CurrentConfig: func() *job.Config { return nil },
+		Waves: Waves{Prefix: "waves/"}, Registry: Registry{Prefix: "runners/"},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = l.Run(ctx) }() // the error is that of the context
+	defer func() {
+		cancel()
+		<-l.Done()
+	}()
+	granted := <-s.granted
+	for l.current.Load() == nil {
+		if t.Context().Err() != nil {
+			t.Fatal("not elected")
+		}
+		<-time.After(time.Millisecond)
+	}
+	if renewed := clock.BootTime(l.current.Load().renewed.Load()); !granted.After(renewed) {
+		t.Errorf("lease counts from %v after the store granted it", renewed.Sub(granted))
+	}
+}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -61,6 +62,9 @@
 type Holder struct {
 	Name string
 	Term runner.Term
+	// Until is when the holder's permission ends: a command that was not sent
+	// before must not be sent, for example by a process that was paused.
+	Until clock.BootTime
 }
 
 // API lists machines and sends them commands. A command whose outcome is unknown
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -230,6 +230,7 @@
 	case ms.notBefore.After(now):
 	case s.ensureIntent(ms.ID, 0, now):
 		ms.sent, ms.since = true, now
+		delete(s.lastCommandEnd, ms.ID) // the intent is needed until the command has ended
 		s.commands = append(s.commands, Command{Kind: MoveMachine, Machine: ms.ID, Pool: ms.movingTo})
 	}
 }
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -326,5 +326,6 @@
 		return
 	}
 	m.phase, m.sent = requested, true
+	delete(s.lastCommandEnd, m.id) // the intent is needed until the command has ended
 	s.commands = append(s.commands, Command{Kind: MaintainMachine, Machine: m.id, Wave: m.wave.Number})
 }
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -135,3 +135,26 @@
 		})
 	}
 }
+
+// TestIntentOfCommandInFlight guards against an intent that is released while a
+// command to the machine is in flight, because an earlier command had ended long
+// before: the next leader would send commands to the machine at once.
+func TestIntentOfCommandInFlight(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MachineTakeover = 3 * time.Second
+	f.runner("a")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+	first := f.maintenances()
+	if len(first) != 1 {
+		t.Fatalf("%d commands, want 1", len(first))
+	}
+	f.s.HandleMachineReply(&first[0], machine.Busy, true, f.now)
+	f.now += 2 * second
+	if again := f.maintenances(); len(again) != 1 {
+		t.Fatalf("%d commands after a busy machine, want 1", len(again))
+	}
+	f.now += 2 * second
+	if intents, _ := f.s.Intents(f.now); intents["m-a"].Term != 1 {
+		t.Errorf("intent %+v while a command is in flight, want that of this term", intents["m-a"])
+	}
+}
