--- a/internal/lead/work.go
+++ b/internal/lead/work.go
@@ -129,7 +129,8 @@
 // are sent one by one.
 func (t *term) sendStarts(ctx context.Context, batcher batchStarter, batch []sched.Command) {
 	if len(batch) > maxStarts {
-		t.spawn(func() { t.sendStarts(ctx, batcher, batch[maxStarts:]) })
+		rest := batch[maxStarts:]
+		t.spawn(func() { t.sendStarts(ctx, batcher, rest) })
 		batch = batch[:maxStarts]
 	}
 	var starts []runner.Start
