sched: a new leader waits before it evacuates long-running tasks

A run that is being stopped, for up to 900 ms, is reported as running, and one whose lease has just ended until the next poll, so the next leader stops another task of the step. It now waits for the stop time of the platform and a second more.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -40,6 +40,9 @@
 	// leader uses. It is below 1 because the API counts commands per second of
 	// its own clock, whose seconds start at other times than the daemon's.
 	commandRateShare = 0.9
+	// settleMargin is the time in which each runner is polled again after the
+	// runs that a previous leader stopped have ended.
+	settleMargin = time.Second
 	// rotationDelay is how long the load balancer may send new connections after
 	// the daemon reports that it is not ready: two health checks, one second
 	// apart.
@@ -97,7 +100,7 @@
 		Policy:        policy(s.Policy),
 		CurrentConfig: d.config.Config,
 		Limits: sched.Limits{
-			MaxRunnerLease: s.Bounds.MaxRunnerLease, OutcomeRetention: s.Bounds.OutcomeRetention, EarlyStart: s.Bounds.EarlyStart,
+			MaxRunnerLease: s.Bounds.MaxRunnerLease, Settle: s.Bounds.StopTime + settleMargin, OutcomeRetention: s.Bounds.OutcomeRetention, EarlyStart: s.Bounds.EarlyStart,
 			MaintenanceTime: s.Bounds.MaintenanceTime, MoveTime: s.Bounds.MoveTime, MachineTakeover: s.Bounds.MachineLease,
 		},
 		RelativeCapacity: relativeCapacity,
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -18,8 +18,12 @@
 }
 
 // evacuate stops those long-running tasks on a runner that can run on another
-// one, up to the MaxUnavailable of their steps.
+// one, up to the MaxUnavailable of their steps. A new leader waits, since it does
+// not know which tasks the previous one has just stopped.
 func (s *State) evacuate(rs *runnerState, now clock.BootTime) {
+	if now.Sub(s.startedAt) < s.Limits.Settle {
+		return
+	}
 	for _, r := range runsOf(rs) {
 		if !r.task.step.spec.LongRunning || r.phase == stopping || !s.mayInterrupt(r.task) {
 			continue
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -53,3 +53,41 @@
 	}
 	t.Error("the long-running task was not evacuated while 40 batch tasks ended on the other runner")
 }
+
+// TestEvacuationWaitsForPreviousLeader guards against more tasks of a step that
+// are away than may be, because a new leader stops one while the stop of another
+// by the previous leader takes effect: a run that is being stopped is reported
+// as running. Seen on trouble-2 --seed 234658845198 of hinokage-kyushu (AVAIL).
+func TestEvacuationWaitsForPreviousLeader(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.Limits.Settle = 2 * time.Second
+	lasting := f.job(1, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1})
+	task := func(i int) job.Task { return job.Task{Job: lasting, Index: i} }
+	f.s.SetRunner(info("a", "pool"), f.now)
+	f.s.SetRunner(info("b", "pool"), f.now)
+	f.s.SetRunner(info("c", "pool"), f.now)
+	report := func(stopped bool) {
+		f.report("a", runner.Run{Task: task(0), Attempt: 1, Percent: 100})
+		if stopped {
+			f.report("b")
+		} else {
+			f.report("b", runner.Run{Task: task(1), Attempt: 1, Percent: 100})
+		}
+		f.report("c")
+	}
+	report(false)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+	for range 10 {
+		if stops := ofKind(f.plan(), StopRun); len(stops) > 0 {
+			t.Fatalf("%v stopped %v after the start of the term", stops[0].Task, f.now.Sub(f.s.startedAt))
+		}
+	}
+	f.end("b", task(1), 1, runner.Stopped) // by the previous leader
+	report(true)
+	f.now = f.now.Add(f.s.Limits.Settle)
+	f.accept(f.plan())
+	for _, c := range ofKind(f.commands, StopRun) {
+		t.Errorf("%v stopped while the other task of its step is away", c.Task)
+	}
+}
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -249,3 +249,28 @@
 		t.Errorf("%d jobs pending after the runner reported the run, want 0", n)
 	}
 }
+
+// TestRunnerThatLeftNotUsed guards against a runner that has left and is used
+// again: one that left while no leader watched and of which only the roster
+// knows, and one whose entry was removed, though both still reply.
+func TestRunnerThatLeftNotUsed(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.InheritRoster([]RosterEntry{{ID: "gone", Addr: info("gone", "pool").Addr}})
+	f.report("gone")
+	f.runner("a", "left")
+	f.s.DeregisterRunner("left", f.now)
+	f.now = f.now.Add(2 * reregisterTimeout)
+	f.report("a")
+	f.report("left")
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.job(1, job.Step{Count: 20})
+	starts := ofKind(f.plan(), StartRun)
+	if len(starts) == 0 {
+		t.Fatal("no starts on the registered runner")
+	}
+	for _, c := range starts {
+		if c.To.ID != "a" {
+			t.Errorf("task %v started on runner %s, which is not registered", c.Task, c.To.ID)
+		}
+	}
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -19,8 +19,11 @@
 	OutcomeRetention time.Duration // how long callers can query the outcome of a job
 	// RunnerTakeover is how long after the start of a term a previous leader
 	// may still extend the lease of a runner that has not replied in this term.
-	RunnerTakeover  time.Duration
-	EarlyStart      time.Duration // how long before its due time a task may start
+	RunnerTakeover time.Duration
+	EarlyStart     time.Duration // how long before its due time a task may start
+	// Settle is how long after the start of a term runs that a previous leader
+	// stopped, or whose lease has just ended, may still be reported as running.
+	Settle          time.Duration
 	MaintenanceTime time.Duration // time after which a machine in maintenance has returned
 	MoveTime        time.Duration // time after which a moved machine has returned to service
 	// MachineTakeover is how long after the start of a term the leader must not
