sched, lead: a wave keeps its time across leaders

The time at which a wave is due is now stored with its status and read by the next leader; a clock that was set back cannot give it more than its whole time. Both tests fail without.

--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -1,6 +1,9 @@
 package job
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // Keys in the store. All input of the leader has one prefix, so that one watch
 // delivers it in order: a former leader receives the change of the leader key
@@ -15,6 +18,7 @@
 	ProgressPrefix = "gt/progress/"
 	RosterKey      = "gt/roster"
 	MachinesKey    = "gt/machines"
+	WavePrefix     = "gt/wave/"
 )
 
 // Key returns the key of an accepted job.
@@ -26,6 +30,20 @@
 // ProgressKey returns the key of a job's progress, which the leader writes.
 func ProgressKey(id ID) string { return ProgressPrefix + string(id) }
 
+// WaveKey returns the key of the time at which a maintenance wave is due.
+func WaveKey(number int) string { return WavePrefix + strconv.Itoa(number) }
+
+// WaveFromKey returns the number of a wave from its key, and whether the key is
+// valid.
+func WaveFromKey(key string) (int, bool) {
+	s, ok := strings.CutPrefix(key, WavePrefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(s)
+	return n, err == nil
+}
+
 // IDFromKey returns the job ID in a key with the given prefix, and whether the
 // key is valid.
 func IDFromKey(key, prefix string) (ID, bool) {
--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -23,7 +23,7 @@
 	}
 
 	recorded.Open(t, "recorded.txt").Check("keys", []byte(strings.Join([]string{
-		Prefix, InputPrefix, JobPrefix, CancelPrefix, LeaderKey, ProgressPrefix, RosterKey, MachinesKey,
-		Key(id), CancelKey(id), ProgressKey(id),
+		Prefix, InputPrefix, JobPrefix, CancelPrefix, LeaderKey, ProgressPrefix, RosterKey, MachinesKey, WavePrefix,
+		Key(id), CancelKey(id), ProgressKey(id), WaveKey(7),
 	}, " ")))
 }
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -70,6 +70,9 @@
 		case it.Key == job.MachinesKey:
 			t.inheritIntents(it)
 		}
+		if n, ok := job.WaveFromKey(it.Key); ok {
+			t.inheritWave(n, it)
+		}
 		if _, ok := job.IDFromKey(it.Key, job.JobPrefix); ok {
 			t.addJob(it, progress)
 		}
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -98,7 +98,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.SetWave(*w, err == nil && string(st.Value) == string(done), clock.Now())
+	t.state.SetWave(*w, err == nil && string(st.Value) == string(done), clock.Now(), time.Now())
 	t.notify()
 	return nil
 }
@@ -113,7 +113,17 @@
 		if err != nil {
 			return err
 		}
-		if _, err := t.commit(ctx, kv.Txn{Writes: []kv.Write{{Key: key, Value: value}}}); err != nil {
+		txn := kv.Txn{Writes: []kv.Write{{Key: key, Value: value}}}
+		if st.Completed {
+			txn.Deletes = []string{job.WaveKey(st.Number)}
+		} else {
+			due, err := cbor.Marshal(st.Due.UnixMilli())
+			if err != nil {
+				return errors.Wrap(err, "encode the due time of a wave")
+			}
+			txn.Writes = append(txn.Writes, kv.Write{Key: job.WaveKey(st.Number), Value: due})
+		}
+		if _, err := t.commit(ctx, txn); err != nil {
 			return errors.Wrap(err, "store wave status")
 		}
 		t.mu.Lock()
@@ -146,6 +156,16 @@
 	t.intentsRev = it.Rev
 }
 
+// inheritWave applies the stored due time of a wave.
+func (t *term) inheritWave(number int, it kv.Item) {
+	var due int64
+	if err := cbor.Unmarshal(it.Value, &due); err != nil {
+		t.logger.Log("msg", "due time of wave decoding failed, its full time is assumed", "wave", number, "rev", int64(it.Rev), "err", err)
+		return
+	}
+	t.state.InheritWave(number, time.UnixMilli(due))
+}
+
 // storeIntents stores which machines this term may send commands to.
 func (t *term) storeIntents(ctx context.Context) error {
 	t.mu.Lock()
--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -97,7 +98,7 @@
 	tm.state.Limits.MachineTakeover = time.Second
 	now := clock.Now()
 	tm.state.Configure(job.NewConfig(1, nil, []*job.Service{{Name: "p"}}, job.Limits{}))
-	tm.state.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m"}, MaxUnavailable: 1, Within: time.Minute}, false, now)
+	tm.state.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m"}, MaxUnavailable: 1, Within: time.Minute}, false, now, time.Unix(0, 0))
 	tm.state.Plan(now, time.Now()) // drains the machine
 	now = now.Add(time.Second)
 	tm.state.Plan(now, time.Now()) // adds the intent
@@ -174,3 +175,27 @@
 		t.Errorf("lease counts from %v after the store granted it", renewed.Sub(granted))
 	}
 }
+
+// TestWaveDueStored guards against a due time of a wave that the next leader
+// does not read.
+func TestWaveDueStored(t *testing.T) {
+	s := &lossyStore{Store: &store.Store{}}
+	tm := newTestTerm(t, s)
+	tm.cfg.CurrentConfig = func() *job.Config { return nil }
+	tm.cfg.Waves.Status = func(n int, _ bool) (string, []byte, error) { return fmt.Sprint("status/", n), nil, nil }
+	wv := machine.Wave{Number: 7, Machines: []machine.ID{"m"}, MaxUnavailable: 1, Within: time.Minute}
+	start := time.UnixMilli(1700000000123)
+	tm.state.SetWave(wv, false, clock.Now(), start)
+	if err := tm.storeWaves(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next := newTestTerm(t, s)
+	next.cfg.CurrentConfig = tm.cfg.CurrentConfig
+	if _, err := next.loadJobs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next.state.SetWave(wv, false, clock.Now(), start.Add(20*time.Second))
+	if sts := next.state.WaveStatuses(); len(sts) != 1 || !sts[0].Due.Equal(start.Add(time.Minute)) {
+		t.Errorf("next leader has %+v, want the wave due a minute after its start", sts)
+	}
+}
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -35,7 +35,7 @@
 	}
 	f.accept(f.plan())
 	f.report(leaving, running(leaving)...)
-	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-" + machine.ID(leaving)}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-" + machine.ID(leaving)}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
 	for range 40 {
 		if runs := running(other); len(runs) > 0 {
 			f.end(other, runs[0].Task, runs[0].Attempt, runner.Done)
@@ -77,7 +77,7 @@
 	}
 	report(false)
 	f.s.RosterStored(f.s.Roster(f.now, false))
-	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
 	for range 10 {
 		if stops := ofKind(f.plan(), StopRun); len(stops) > 0 {
 			t.Fatalf("%v stopped %v after the start of the term", stops[0].Task, f.now.Sub(f.s.startedAt))
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -123,7 +123,7 @@
 		f.report(c.To.ID, runner.Run{Task: c.Task, Attempt: 1, Percent: 100})
 	}
 	machines := []machine.ID{machine.ID("m-" + starts[0].To.ID), machine.ID("m-" + starts[1].To.ID)}
-	f.s.SetWave(machine.Wave{Number: 1, Machines: machines, MaxUnavailable: 2, Within: time.Second}, false, f.now)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: machines, MaxUnavailable: 2, Within: time.Second}, false, f.now, time.Unix(0, 0))
 	stops := len(ofKind(f.plan(), StopRun)) + len(ofKind(f.plan(), StopRun))
 	if stops != 1 {
 		t.Errorf("%d tasks stopped at once, want 1", stops)
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	s.SetMachines(machines, now)
-	s.SetWave(w, false, now)
+	s.SetWave(w, false, now, time.Unix(0, 0))
 	s.RosterStored(s.Roster(now, false))
 	for p := range pools {
 		for n := range jobsPerPool {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -64,6 +64,7 @@
 	dirty          []*jobState
 	closed         []*jobState // jobs with an outcome, the earliest first
 	waves          map[int]*wave
+	inheritedDues  map[int]time.Time // when the waves of previous terms are due
 	machineStates  map[machine.ID]*machineState
 	listedAt       clock.BootTime      // when the machines were last listed
 	inputCurrentAt clock.BootTime      // time up to which the input is complete
@@ -87,7 +88,7 @@
 		Term: t, Limits: l, Logger: logger, startedAt: now, inputCurrentAt: now,
 		jobs: make(map[job.ID]*jobState), open: make(map[string][]*jobState),
 		runners: make(map[runner.ID]*runnerState), byMachine: make(map[machine.ID]*runnerState), byPool: make(map[string][]*runnerState), usableByPool: make(map[string][]*runnerState), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), unplaced: make(map[string]int), lastCommandEnd: make(map[machine.ID]clock.BootTime),
+		waves: make(map[int]*wave), inheritedDues: make(map[int]time.Time), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), unplaced: make(map[string]int), lastCommandEnd: make(map[machine.ID]clock.BootTime),
 	}
 }
 
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -38,6 +38,7 @@
 	machine.Wave
 	maintenances []*maintenance
 	due          clock.BootTime
+	dueWall      time.Time // the same time by the wall clock, for the next term
 	completed    bool
 	storedStatus string // status that the store holds
 }
@@ -63,12 +64,20 @@
 	machineRetryDelay = 300 * time.Millisecond
 )
 
-// SetWave adds a wave that the operators requested.
-func (s *State) SetWave(w machine.Wave, completed bool, now clock.BootTime) {
+// InheritWave records when a wave of a previous term is due.
+func (s *State) InheritWave(number int, due time.Time) { s.inheritedDues[number] = due }
+
+// SetWave adds a wave that the operators requested. Its time counts from the
+// first leader that has seen it; the clocks of the leaders may differ.
+func (s *State) SetWave(w machine.Wave, completed bool, now clock.BootTime, wall time.Time) {
 	if s.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{Wave: w, due: now.Add(w.Within), completed: completed}
+	left := w.Within
+	if due, ok := s.inheritedDues[w.Number]; ok {
+		left = min(max(due.Sub(wall), 0), w.Within)
+	}
+	x := &wave{Wave: w, due: now.Add(left), dueWall: wall.Add(left), completed: completed}
 	if completed {
 		// Its machines are free for other work.
 		x.storedStatus = statusCompleted
@@ -78,7 +87,7 @@
 		}
 	}
 	s.waves[w.Number] = x
-	s.Logger.Log("msg", "wave added", "wave", w.Number, "machines", len(w.Machines), "cap", w.MaxUnavailable, "within", w.Within, "completed", completed)
+	s.Logger.Log("msg", "wave added", "wave", w.Number, "machines", len(w.Machines), "cap", w.MaxUnavailable, "within", w.Within, "left", left, "completed", completed)
 }
 
 // newMaintenance returns the record of a machine of a wave with the phase that
@@ -109,6 +118,7 @@
 type WaveStatus struct {
 	Number    int
 	Completed bool
+	Due       time.Time
 }
 
 // WaveStatuses returns the statuses that are not stored yet.
@@ -120,7 +130,7 @@
 			want = statusCompleted
 		}
 		if w.storedStatus != want {
-			sts = append(sts, WaveStatus{Number: w.Number, Completed: w.completed})
+			sts = append(sts, WaveStatus{Number: w.Number, Completed: w.completed, Due: w.dueWall})
 		}
 	}
 	return sts
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -29,7 +29,7 @@
 	f.s.Limits.MaintenanceTime = 2 * time.Second
 	f.runner("a", "b", "c", "d")
 	wv := machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b", "m-c", "m-d"}, MaxUnavailable: 2, Within: time.Minute}
-	f.s.SetWave(wv, false, f.now)
+	f.s.SetWave(wv, false, f.now, time.Unix(0, 0))
 	first := f.maintenances()
 	if len(first) != 2 {
 		t.Fatalf("first term took %d machines down, want 2", len(first))
@@ -44,7 +44,7 @@
 	next.now = f.now
 	next.s.IntentsStored(intents)
 	next.runner("a", "b", "c", "d")
-	next.s.SetWave(wv, false, next.now)
+	next.s.SetWave(wv, false, next.now, time.Unix(0, 0))
 	if got := next.maintenances(); len(got) != 0 {
 		t.Errorf("second term sent %v while two machines are down", got)
 	}
@@ -74,7 +74,7 @@
 		f.runner("a", "b")
 		machines := []machine.Machine{{ID: "m-a", Pool: "pool", Runner: "a"}, {ID: "m-b", Pool: "pool", Runner: "b", State: machine.Maintenance}}
 		f.s.SetMachines(machines, f.now)
-		f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b"}, MaxUnavailable: 2, Within: time.Minute}, completed, f.now)
+		f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b"}, MaxUnavailable: 2, Within: time.Minute}, completed, f.now, time.Unix(0, 0))
 		f.plan()
 		f.plan()
 		if !f.s.movable(f.s.machineStates["m-a"], "other", f.now) || !f.s.usable(f.s.runners["a"], f.now) {
@@ -94,7 +94,7 @@
 	f.job(1, job1)
 	f.accept(f.plan())
 	f.s.PollFailed("a", f.now)
-	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Second}, false, f.now)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Second}, false, f.now, time.Unix(0, 0))
 	if got := f.maintenances(); len(got) != 0 {
 		t.Errorf("commands %v while the runner may run a task", got)
 	}
@@ -113,7 +113,7 @@
 			f := newFixture(t, 1)
 			f.s.Limits.MachineTakeover = 5 * time.Second
 			f.runner("a")
-			f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+			f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
 			first := f.maintenances()
 			if len(first) != 1 {
 				t.Fatalf("%d commands, want 1", len(first))
@@ -128,7 +128,7 @@
 			next.s.Limits.MachineTakeover = 5 * time.Second
 			next.s.IntentsStored(intents)
 			next.runner("a")
-			next.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, next.now)
+			next.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, next.now, time.Unix(0, 0))
 			if got := next.maintenances(); len(got) != c.want {
 				t.Errorf("commands %v, want %d", got, c.want)
 			}
@@ -143,7 +143,7 @@
 	f := newFixture(t, 1)
 	f.s.Limits.MachineTakeover = 3 * time.Second
 	f.runner("a")
-	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
 	first := f.maintenances()
 	if len(first) != 1 {
 		t.Fatalf("%d commands, want 1", len(first))
@@ -158,3 +158,28 @@
 		t.Errorf("intent %+v while a command is in flight, want that of this term", intents["m-a"])
 	}
 }
+
+// TestWaveDueAcrossTerms guards against a wave whose time starts anew with each
+// leader, so that its machines leave late: seen on the incident inc-4f22 of
+// hinokage-kyushu, where a leader that began 17 s after the wave counted 28 s
+// from then on.
+func TestWaveDueAcrossTerms(t *testing.T) {
+	wall := time.Unix(1700000000, 0)
+	wv := machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: 28 * time.Second}
+	f := newFixture(t, 1)
+	f.s.SetWave(wv, false, f.now, wall)
+	sts := f.s.WaveStatuses()
+	if len(sts) != 1 || !sts[0].Due.Equal(wall.Add(28*time.Second)) {
+		t.Fatalf("status to store %+v, want one due after 28 s", sts)
+	}
+	for name, x := range map[string]struct{ passed, left time.Duration }{
+		"later": {17 * time.Second, 11 * time.Second}, "too late": {time.Minute, 0}, "clock set back": {-time.Minute, 28 * time.Second},
+	} {
+		next := newFixture(t, 2)
+		next.s.InheritWave(1, sts[0].Due)
+		next.s.SetWave(wv, false, next.now, wall.Add(x.passed))
+		if left := next.s.waves[1].due.Sub(next.now); left != x.left {
+			t.Errorf("%s: %v left, want %v", name, left, x.left)
+		}
+	}
+}
