lead, relay: split the files that grew

work.go had the planner, commands, polls and the flush; they are files of their own now, as is the selection of relays.

--- /dev/null
+++ b/internal/lead/command.go
@@ -0,0 +1,153 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+	"gypsumtrestle.example/gypsumtrestle/internal/sched"
+)
+
+const (
+	// commandRetryDelay follows a command that must be sent again.
+	commandRetryDelay = 30 * time.Millisecond
+)
+
+// batchStarter is implemented by clients that send several starts to a runner in
+// one message.
+type batchStarter interface {
+	StartAll(ctx context.Context, to runner.Target, t runner.Term, starts []runner.Start) []runner.StartOutcome
+}
+
+// send sends commands without waiting for their replies.
+func (t *term) send(ctx context.Context, commands []sched.Command) {
+	batcher, _ := t.cfg.Runners.(batchStarter)
+	starts := make(map[runner.ID][]sched.Command)
+	for i := range commands {
+		switch c := commands[i]; c.Kind {
+		case sched.MaintainMachine, sched.MoveMachine:
+			t.spawn(func() { t.sendMachineCommand(ctx, c) })
+		case sched.StartRun:
+			t.wakePoller(c.To.ID)
+			if batcher != nil {
+				starts[c.To.ID] = append(starts[c.To.ID], c)
+				continue
+			}
+			t.spawn(func() { t.sendCommand(ctx, c) })
+		case sched.StopRun, sched.ThrottleRun:
+			t.spawn(func() { t.sendCommand(ctx, c) })
+		}
+	}
+	for _, batch := range starts {
+		t.spawn(func() { t.sendStarts(ctx, batcher, batch) })
+	}
+}
+
+// maxStarts bounds the starts of one message, which waits for the reply to each.
+const maxStarts = 16
+
+// sendStarts sends starts on one runner together. Those that must be sent again
+// are sent one by one.
+func (t *term) sendStarts(ctx context.Context, batcher batchStarter, batch []sched.Command) {
+	if len(batch) > maxStarts {
+		rest := batch[maxStarts:]
+		t.spawn(func() { t.sendStarts(ctx, batcher, rest) })
+		batch = batch[:maxStarts]
+	}
+	var starts []runner.Start
+	var commands []sched.Command
+	t.mu.Lock()
+	now := clock.Now()
+	for i := range batch {
+		if s, needed := t.state.Prepare(&batch[i], now); needed {
+			starts, commands = append(starts, s), append(commands, batch[i])
+		}
+	}
+	t.mu.Unlock()
+	if len(starts) == 0 {
+		return
+	}
+	for i, o := range batcher.StartAll(ctx, commands[0].To, t.id, starts) {
+		c := commands[i]
+		t.logFailure(ctx, &c, o.Err)
+		if t.handleReply(&c, o.Reply, o.Err) {
+			t.spawn(func() {
+				clock.Sleep(ctx, commandRetryDelay)
+				t.sendCommand(ctx, c)
+			})
+		}
+	}
+}
+
+// logFailure logs a command that got no reply, unless the term has ended.
+func (t *term) logFailure(ctx context.Context, c *sched.Command, err error) {
+	if err != nil && ctx.Err() == nil {
+		t.logger.Log("msg", "command failed", "kind", c.Kind, "task", c.Task, "attempt", c.Attempt, "runner", c.To.ID, "err", err)
+	}
+}
+
+// sendCommand sends one command, repeatedly until a reply gives its outcome or
+// it is no longer needed.
+func (t *term) sendCommand(ctx context.Context, c sched.Command) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		start, needed := t.state.Prepare(&c, clock.Now())
+		t.mu.Unlock()
+		if !needed {
+			return
+		}
+		var reply runner.Reply
+		var err error
+		switch c.Kind {
+		case sched.StartRun:
+			reply, err = t.cfg.Runners.Start(ctx, c.To, t.id, start)
+		case sched.StopRun:
+			reply, err = t.cfg.Runners.Stop(ctx, c.To, t.id, c.Task, c.Attempt)
+		case sched.ThrottleRun:
+			reply, err = t.cfg.Runners.Throttle(ctx, c.To, t.id, c.Task, c.Attempt, c.Percent)
+		case sched.MaintainMachine, sched.MoveMachine:
+			return // sendMachineCommand sends these
+		}
+		t.logFailure(ctx, &c, err)
+		if !t.handleReply(&c, reply, err) {
+			return
+		}
+		clock.Sleep(ctx, commandRetryDelay)
+	}
+}
+
+// handleReply handles the outcome of a command and reports whether the command
+// must be sent again.
+func (t *term) handleReply(c *sched.Command, reply runner.Reply, err error) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := clock.Now()
+	if err == nil && t.handleRejection(c.To.ID, reply, now) {
+		return false
+	}
+	again := t.state.HandleReply(c, reply, err == nil, !errors.Is(err, runner.ErrUnreachable), now)
+	if !again {
+		t.notify()
+	}
+	return again
+}
+
+// handleRejection handles replies that show that the term has ended or that the
+// runner has a new incarnation. It reports whether the reply was one of these.
+func (t *term) handleRejection(id runner.ID, reply runner.Reply, now clock.BootTime) bool {
+	switch reply.Verdict {
+	case runner.Fenced:
+		t.logger.Log("msg", "command fenced by a later term", "runner", id)
+		t.end(errLostLeadership)
+		return true
+	case runner.WrongIncarnation:
+		t.state.RunnerReplaced(id, now)
+		t.notify()
+		return true
+	case runner.Accepted, runner.Superseded, runner.Expired, runner.NoCapacity, runner.NoPermit, runner.Unhealthy, runner.Invalid:
+	}
+	return false
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -20,9 +20,9 @@
 const Path = "/relay/2"
 
 const (
-	// maxMessage bounds a message in bytes. A message may contain a batch of
-	// starts with the longest specs that callers may send, or of reports.
-	maxMessage = 4 << 20
+	// maxMessage bounds a message in bytes. A message may contain maxBatch calls
+	// of 16 starts with the longest specs that callers may send, which are 8 MB.
+	maxMessage = 16 << 20
 	// maxBatch bounds the calls or results of one message.
 	maxBatch = 128
 	// callDelay is how long the first call of a message waits for others. One
