--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -274,3 +274,21 @@
 		}
 	}
 }
+
+// TestUnknownRoster guards against a roster that cannot be decoded and is taken
+// for an empty one: tasks that run on unknown runners would be started again.
+func TestUnknownRoster(t *testing.T) {
+	f := newFixture(t, 200) // the job was accepted before this term
+	f.s.InheritUnknownRoster()
+	f.runner("a")
+	f.job(1, job1)
+	if starts := ofKind(f.plan(), StartRun); len(starts) != 0 {
+		t.Errorf("%v started while it may run on an unknown runner", starts[0].Task)
+	}
+	f.now = f.now.Add(2 * f.s.Limits.RunnerTakeover)
+	f.report("a")
+	f.s.ConfirmTerm(f.now)
+	if starts := ofKind(f.plan(), StartRun); len(starts) != 1 {
+		t.Errorf("%d starts after the leases of all runners have expired, want 1", len(starts))
+	}
+}
