sched, lead: end a runner's runs only on evidence about its process

The leader took two observations for the end of a runner's process that are none: an entry in the store with a higher start time, and a reply of another runner at any address that a command for the runner went to. An entry may be of another writer, and an address may be wrong or of an earlier incarnation.

An incarnation now ends by its successor's own reply, by the reply of another runner at the address where this one had replied before, or by a command that its machine accepted. An entry of a later incarnation is kept until that one replies; meanwhile the runner gets no new runs. What a report says of the incarnation has precedence over entries. The address that replied is kept for the life of the incarnation, and is what the roster passes on.

TestEntryEndsLiveRunner, TestReplyAtOtherAddressEndsLiveRunner and TestLateReplyEndsNextIncarnation failed on the code before: the task was started on the other runner, and the live incarnation was ignored.

--- a/internal/lead/command.go
+++ b/internal/lead/command.go
@@ -125,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := clock.Now()
-	if err == nil && t.handleRejection(c.To.ID, reply, now) {
+	if err == nil && t.handleRejection(c.To, reply, now) {
 		return false
 	}
 	again := t.state.HandleReply(c, reply, err == nil, !errors.Is(err, runner.ErrUnreachable), now)
@@ -137,14 +137,14 @@
 
 // handleRejection handles replies that show that the term has ended or that the
 // runner has a new incarnation. It reports whether the reply was one of these.
-func (t *term) handleRejection(id runner.ID, reply runner.Reply, now clock.BootTime) bool {
+func (t *term) handleRejection(to runner.Target, reply runner.Reply, now clock.BootTime) bool {
 	switch reply.Verdict {
 	case runner.Fenced:
-		t.logger.Log("msg", "command fenced by a later term", "runner", id)
+		t.logger.Log("msg", "command fenced by a later term", "runner", to.ID)
 		t.end(errLostLeadership)
 		return true
 	case runner.WrongIncarnation:
-		t.state.RunnerReplaced(id, now)
+		t.state.RunnerReplaced(to, now)
 		t.notify()
 		return true
 	case runner.Accepted, runner.Superseded, runner.Expired, runner.NoCapacity, runner.NoPermit, runner.Unhealthy, runner.Invalid:
--- a/internal/lead/starts_test.go
+++ b/internal/lead/starts_test.go
@@ -42,7 +42,7 @@
 	tm.state.SetRunner(runner.Info{
 		ID: "a", Incarnation: 1, Service: "p", Addr: netip.MustParseAddrPort("127.0.0.1:9"), Capacity: job.Resources{CPU: 64000, Mem: 64000},
 	}, now)
-	tm.state.HandleReport("a", now, now, &runner.Report{Incarnation: 1, Clock: 1000})
+	tm.state.HandleReport(runner.Target{ID: "a", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, now, now, &runner.Report{Incarnation: 1, Clock: 1000})
 	tm.state.RosterStored(tm.state.Roster(now, false))
 	const tasks = 2*maxStarts + 5
 	j := &job.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Service: "p", Steps: []job.Step{{Count: tasks, Resources: job.Resources{CPU: 1000, Mem: 1}}}}
--- /dev/null
+++ b/internal/sched/evidence.go
@@ -0,0 +1,89 @@
+package sched
+
+import (
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// evidence is the observation that shows that an incarnation of a runner has
+// ended, and with it all of its runs. Silence is none, nor is an entry in the
+// store or a reply at an address where the incarnation never replied: either may
+// concern another process.
+type evidence int
+
+const (
+	restarted    evidence = iota // its next incarnation replied
+	replaced                     // another runner replied where it had replied before
+	inUpkeep                     // its machine accepted a maintenance command
+	machineMoved                 // its machine accepted a move command
+)
+
+func (e evidence) String() string {
+	return [...]string{"runner restarted", "runner is gone", "machine in maintenance", "its machine moves"}[e]
+}
+
+// isConfirmed reports whether the incarnation is known from a reply of its own.
+func (rs *runnerState) isConfirmed() bool { return rs.confirmedAddr.IsValid() && rs.Incarnation != 0 }
+
+// confirm records which incarnation of a runner replied, and where. The reply is
+// the authority on the incarnation: what an entry says of it may be wrong.
+func (s *State) confirm(rs *runnerState, from runner.Target, in runner.Incarnation, sent, now clock.BootTime) {
+	switch {
+	case in == rs.Incarnation:
+		if rs.announced != nil && sent.After(rs.announcedAt) {
+			s.Logger.Log("msg", "runner entry ignored: an earlier incarnation replies", "runner", rs.ID, "addr", from.Addr,
+				"incarnation", int64(in), "announced", int64(rs.announced.Incarnation))
+			rs.announced = nil
+		}
+	case rs.replied || rs.ended:
+		i := rs.Info
+		if rs.announced != nil && rs.announced.Incarnation == in {
+			i = *rs.announced
+		}
+		i.Incarnation, i.Addr = in, from.Addr
+		if !rs.ended {
+			s.endIncarnation(rs, restarted, now)
+		}
+		s.renew(rs, i)
+	default:
+		rs.Incarnation, rs.announced = in, nil
+	}
+	rs.confirmedAddr = from.Addr
+	s.indexMachine(rs)
+}
+
+// RunnerReplaced records that another runner replied to a command. The runner
+// that the command was meant for has ended if it replied at this address before;
+// otherwise the address was wrong.
+func (s *State) RunnerReplaced(at runner.Target, now clock.BootTime) {
+	rs := s.runners[at.ID]
+	switch {
+	case rs == nil:
+		return
+	case rs.ended:
+	case at.Addr == rs.confirmedAddr:
+		s.Logger.Log("msg", "runner replaced by another at its address", "runner", rs.ID, "addr", at.Addr, "runs", len(rs.runs))
+		s.endIncarnation(rs, replaced, now)
+	case at.Addr == rs.target().Addr:
+		if !rs.unreachable {
+			s.Logger.Log("msg", "another runner replies at the address of the entry", "runner", rs.ID, "addr", at.Addr, "runs", len(rs.runs))
+		}
+		s.PollFailed(rs.ID, now)
+	default:
+		return // a reply from the address of an earlier incarnation
+	}
+	s.removeDeregistered(rs, now)
+}
+
+// endIncarnation records that all runs on a runner ended with its incarnation.
+func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
+	for _, r := range runsOf(rs) {
+		s.runLost(r, why.String(), now)
+	}
+	rs.unacked = nil
+	rs.ended, rs.unreachable = true, true
+	delete(s.inherited, rs.ID)
+	if rs.announced != nil {
+		s.renew(rs, *rs.announced)
+	}
+}
--- /dev/null
+++ b/internal/sched/evidence_test.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"net/netip"
+	"testing"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// replaced records that another runner replied at an address to a command for
+// the runner with the given ID.
+func (f *fixture) replaced(id runner.ID, addr netip.AddrPort) {
+	f.s.RunnerReplaced(runner.Target{ID: id, Addr: addr}, f.now)
+}
+
+// reportOf lets an incarnation of a runner report the given runs, at the address
+// of its next poll and in reply to one that was sent at the time sent.
+func (f *fixture) reportOf(id runner.ID, incarnation runner.Incarnation, sent clock.BootTime, runs ...runner.Run) {
+	f.s.HandleReport(f.s.runners[id].target(), sent, f.now, &runner.Report{Incarnation: incarnation, Clock: 1000, Running: runs})
+}
+
+// startOn starts a task of a new job on one of two runners and lets the runner
+// report its run. It returns the start and the other runner.
+func (f *fixture) startOn() (start Command, other runner.ID) {
+	f.t.Helper()
+	f.runner("a", "b")
+	f.job(1, job.Step{LongRunning: true})
+	starts := ofKind(f.plan(), StartRun)
+	if len(starts) != 1 {
+		f.t.Fatalf("commands %v, want one start", starts)
+	}
+	f.accept(starts)
+	f.report(starts[0].To.ID, runner.Run{Task: starts[0].Task, Attempt: 1, Percent: 100})
+	return starts[0], map[runner.ID]runner.ID{"a": "b", "b": "a"}[starts[0].To.ID]
+}
+
+// wantNoStart fails if a planning pass starts a task while it may run on a
+// runner that is up.
+func (f *fixture) wantNoStart(why string) {
+	f.t.Helper()
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		f.t.Errorf("%s: task %s started on %s while it runs on another runner", why, got[0].Task, got[0].To.ID)
+	}
+}
+
+// TestEntryEndsLiveRunner guards against an entry of another writer, with a
+// start time that is too high, that ends the runs of a runner which goes on.
+func TestEntryEndsLiveRunner(t *testing.T) {
+	f := newFixture(t, 1)
+	start, _ := f.startOn()
+	i := info(start.To.ID, "pool")
+	i.Incarnation = 7
+	f.s.SetRunner(i, f.now)
+	f.wantNoStart("after an entry with a higher start time")
+	f.report(start.To.ID, runner.Run{Task: start.Task, Attempt: 1, Percent: 100})
+	f.wantNoStart("after a report of the live incarnation")
+	f.job(2, job.Step{PerRunner: 1, Count: 2})
+	if got := ofKind(f.plan(), StartRun); len(got) != 2 {
+		t.Errorf("%d starts, want one on each runner: the live incarnation is ignored", len(got))
+	}
+}
+
+// TestReplyAtOtherAddressEndsLiveRunner guards against an entry with the address
+// of another runner, whose reply ends the runs of a runner that goes on.
+func TestReplyAtOtherAddressEndsLiveRunner(t *testing.T) {
+	f := newFixture(t, 1)
+	start, _ := f.startOn()
+	i := info(start.To.ID, "pool")
+	i.Addr = netip.MustParseAddrPort("127.0.0.1:10")
+	f.s.SetRunner(i, f.now)
+	f.replaced(start.To.ID, i.Addr)
+	f.wantNoStart("after another runner replied at an address where this one never did")
+}
+
+// TestLateReplyEndsNextIncarnation guards against a reply from the address of an
+// earlier incarnation that ends the runs of the present one.
+func TestLateReplyEndsNextIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	start, _ := f.startOn()
+	old := info(start.To.ID, "pool").Addr
+	i := info(start.To.ID, "pool")
+	i.Incarnation, i.Addr = 2, netip.MustParseAddrPort("127.0.0.1:11")
+	f.s.SetRunner(i, f.now)
+	f.replaced(start.To.ID, old) // the earlier incarnation has ended
+	f.reportOf(start.To.ID, 2, f.now, runner.Run{Task: start.Task, Attempt: 2, Percent: 100})
+	f.replaced(start.To.ID, old) // the reply to a stop that was repeated there
+	f.wantNoStart("after a reply at the address of an earlier incarnation")
+}
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -319,7 +319,7 @@
 		l.s.PollFailed(r.id, m.now)
 		return
 	}
-	l.s.HandleReport(r.id, m.now, m.now, rep)
+	l.s.HandleReport(p.To, m.now, m.now, rep)
 }
 
 // acknowledge acknowledges results and checks those that are done.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -10,34 +10,60 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
-// SetRunner adds or updates a runner from its entry in the store.
+// SetRunner adds or updates a runner from its entry in the store. Another writer
+// may have made the entry, so it does not show that an incarnation which has
+// replied has ended: the entry of a later one is kept until that one replies.
 func (s *State) SetRunner(i runner.Info, now clock.BootTime) {
 	rs := s.runners[i.ID]
-	if rs != nil && i.Incarnation >= rs.Incarnation && i.Service != rs.Service {
-		s.removeFromPool(rs)
-		defer func() { s.addToPool(rs) }()
-	}
 	switch {
 	case rs == nil:
 		rs = newRunnerState(i)
 		s.runners[i.ID] = rs
 		s.addToPool(rs)
 		s.Logger.Log("msg", "runner registered", "runner", i.ID, "service", i.Service, "machine", i.Machine, "draining", i.Draining)
-	case i.Incarnation < rs.Incarnation:
+	case rs.ended && i.Incarnation > rs.Incarnation:
+		s.renew(rs, i)
+	case rs.isConfirmed() && i.Incarnation > rs.Incarnation:
+		if rs.announced == nil {
+			s.Logger.Log("msg", "runner restart announced", "runner", i.ID, "incarnation", int64(i.Incarnation), "present", int64(rs.Incarnation), "addr", i.Addr)
+		}
+		rs.announced, rs.announcedAt = &i, now
+	case rs.isConfirmed() && i.Incarnation < rs.Incarnation:
 		return
-	case rs.Incarnation == 0:
-		// The runner was known from the roster only, without its incarnation.
-		*rs = *newRunnerState(i)
-	case i.Incarnation > rs.Incarnation:
-		s.endIncarnation(rs, "runner restarted", now)
-		*rs = *newRunnerState(i)
 	default:
 		if rs.Draining != i.Draining {
 			s.Logger.Log("msg", "runner draining changed", "runner", i.ID, "draining", i.Draining)
 		}
-		rs.Info = i
+		rs.announced = nil
+		s.setInfo(rs, i)
 	}
 	rs.registered = true
+	s.indexMachine(rs)
+}
+
+// setInfo replaces what is known of a runner from its entry.
+func (s *State) setInfo(rs *runnerState, i runner.Info) {
+	if i.Service == rs.Service {
+		rs.Info = i
+		return
+	}
+	s.removeFromPool(rs)
+	rs.Info = i
+	s.addToPool(rs)
+}
+
+// renew replaces the state of an ended incarnation by that of another one, which
+// has not replied.
+func (s *State) renew(rs *runnerState, i runner.Info) {
+	s.removeFromPool(rs)
+	registered, at := rs.registered, rs.deregisteredAt
+	*rs = *newRunnerState(i)
+	rs.registered, rs.deregisteredAt = registered, at
+	s.addToPool(rs)
+}
+
+// indexMachine records a runner as the one of its machine if no later one is.
+func (s *State) indexMachine(rs *runnerState) {
 	id := machine.ID(rs.Machine)
 	if old := s.byMachine[id]; old == nil || old.Incarnation <= rs.Incarnation {
 		s.byMachine[id] = rs
@@ -79,30 +105,6 @@
 	s.removeFromPool(rs)
 }
 
-// endIncarnation records that all runs on a runner ended with its incarnation.
-func (s *State) endIncarnation(rs *runnerState, why string, now clock.BootTime) {
-	for _, r := range runsOf(rs) {
-		s.runLost(r, why, now)
-	}
-	rs.unacked = nil
-	rs.ended, rs.unreachable = true, true
-	delete(s.inherited, rs.ID)
-}
-
-// RunnerReplaced records that another incarnation replies at the address of a
-// runner, so that the expected one has ended.
-func (s *State) RunnerReplaced(id runner.ID, now clock.BootTime) {
-	rs := s.runners[id]
-	if rs == nil {
-		return
-	}
-	if !rs.ended {
-		s.Logger.Log("msg", "runner replaced by another at its address", "runner", id, "addr", rs.Addr, "runs", len(rs.runs))
-	}
-	s.endIncarnation(rs, "runner is gone", now)
-	s.removeDeregistered(rs, now)
-}
-
 // runLost records that a run ended without a result.
 func (s *State) runLost(r *run, why string, now clock.BootTime) {
 	s.Logger.Log("msg", "run lost", "task", r.task.name, "attempt", r.attempt, "runner", r.runner.ID, "why", why)
@@ -116,6 +118,7 @@
 	if rs == nil {
 		return
 	}
+	rs.tryAnnounced = !rs.tryAnnounced
 	if !rs.unreachable {
 		rs.unreachable = true
 		s.Logger.Log("msg", "runner unreachable", "runner", id, "service", rs.Service, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
@@ -165,22 +168,17 @@
 	idlePollWait = 1500 * time.Millisecond
 )
 
-// HandleReport handles the reply to a poll that was sent at the time sent. It
-// reports whether the report changes what may be planned.
-func (s *State) HandleReport(id runner.ID, sent, now clock.BootTime, rep *runner.Report) bool {
+// HandleReport handles the reply of a runner to a poll that was sent at the time
+// sent. It reports whether the report changes what may be planned.
+func (s *State) HandleReport(from runner.Target, sent, now clock.BootTime, rep *runner.Report) bool {
+	id := from.ID
 	rs := s.runners[id]
-	if rs == nil || rep.Incarnation < rs.Incarnation || (rs.ended && rep.Incarnation == rs.Incarnation) {
+	if rs == nil || (rs.replied && rep.Incarnation < rs.Incarnation) || (rs.ended && rep.Incarnation <= rs.Incarnation) {
 		return false
 	}
-	changed := !rs.replied || rs.unreachable || rep.Incarnation > rs.Incarnation
+	changed := !rs.replied || rs.unreachable || rep.Incarnation != rs.Incarnation
 	applied, runs := rs.applied, len(rs.runs)
-	if rep.Incarnation > rs.Incarnation {
-		i := rs.Info
-		i.Incarnation = rep.Incarnation
-		registered := rs.registered
-		s.SetRunner(i, now)
-		rs.registered = registered
-	}
+	s.confirm(rs, from, rep.Incarnation, sent, now)
 	if rs.unreachable {
 		s.Logger.Log("msg", "runner reachable again", "runner", id, "runs", len(rep.Running))
 	}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -67,10 +67,14 @@
 			in.tasks = append(in.tasks, t)
 		}
 		s.inherited[e.ID] = in
-		if s.runners[e.ID] == nil && e.Addr.IsValid() {
+		if !e.Addr.IsValid() {
+			continue
+		}
+		if s.runners[e.ID] == nil {
 			s.runners[e.ID] = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr})
 			s.addToPool(s.runners[e.ID])
 		}
+		s.runners[e.ID].confirmedAddr = e.Addr
 	}
 	s.RosterStored(entries)
 }
@@ -179,7 +183,7 @@
 		return RosterEntry{}, false
 	}
 	if !rs.unreachable && !closing {
-		return RosterEntry{ID: rs.ID, Addr: rs.Addr}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
+		return RosterEntry{ID: rs.ID, Addr: rs.confirmedAddr}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
 	}
 	if len(rs.runs) == 0 && !rs.hasUnacked() {
 		return RosterEntry{}, false
@@ -188,7 +192,7 @@
 	if closing {
 		remaining = s.Limits.MaxRunnerLease
 	}
-	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.Addr}
+	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.confirmedAddr}
 	for _, x := range runsOf(rs) {
 		e.Tasks = append(e.Tasks, x.task.name.String())
 	}
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"net/netip"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -20,6 +21,14 @@
 // runnerState is the leader's record of a runner.
 type runnerState struct {
 	runner.Info
+	// confirmedAddr is where this incarnation has replied, in this term or, by
+	// the roster, in a previous one; not valid if it has not.
+	confirmedAddr netip.AddrPort
+	// announced is the entry of a later incarnation that has not replied; nil if
+	// there is none.
+	announced      *runner.Info
+	announcedAt    clock.BootTime // when the entry was read
+	tryAnnounced   bool           // the next poll goes to the announced address
 	registered     bool           // the store has an entry for it
 	deregisteredAt clock.BootTime // when its entry was removed
 	ended          bool           // this incarnation has ended
@@ -50,9 +59,19 @@
 	return &runnerState{Info: i, runs: make(map[job.Task]*run)}
 }
 
-// target returns the address of commands to the runner.
+// target returns the address of commands to the runner. An incarnation keeps its
+// address, so the confirmed one has precedence over that of an entry. While the
+// runner does not reply there, every second poll goes to the address of an
+// announced incarnation.
 func (rs *runnerState) target() runner.Target {
-	return runner.Target{ID: rs.ID, Addr: rs.Addr, Zone: rs.Zone}
+	to := runner.Target{ID: rs.ID, Addr: rs.Addr, Zone: rs.Zone}
+	switch {
+	case rs.announced != nil && rs.unreachable && rs.tryAnnounced:
+		to.Addr = rs.announced.Addr
+	case rs.confirmedAddr.IsValid():
+		to.Addr = rs.confirmedAddr
+	}
+	return to
 }
 
 // free returns the free capacity.
@@ -75,7 +94,7 @@
 // usable reports whether new runs may be started on a runner.
 func (s *State) usable(rs *runnerState, now clock.BootTime) bool {
 	registered := rs.registered || now.Sub(rs.deregisteredAt) < reregisterTimeout
-	return registered && !rs.ended && rs.withheld == 0 && s.rostered[rs.ID] && rs.replied && !rs.unreachable && !rs.Draining && !rs.cordoned && !rs.blockedUntil.After(now)
+	return registered && !rs.ended && rs.announced == nil && rs.withheld == 0 && s.rostered[rs.ID] && rs.replied && !rs.unreachable && !rs.Draining && !rs.cordoned && !rs.blockedUntil.After(now)
 }
 
 // lease returns the lease end to send, the latest that the platform allows, and
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -39,7 +39,7 @@
 			info := info(id, fmt.Sprint("p", i%pools))
 			info.Capacity, info.Rack = m.Capacity, fmt.Sprint("rack", i/8)
 			s.SetRunner(info, now)
-			s.HandleReport(id, now, now, &runner.Report{Incarnation: 1, Clock: 1})
+			s.HandleReport(runner.Target{ID: id, Addr: info.Addr}, now, now, &runner.Report{Incarnation: 1, Clock: 1})
 			m.Pool, m.Runner = info.Service, id
 		}
 		machines = append(machines, m)
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -79,7 +79,7 @@
 
 // report lets a runner report the given runs and all its results.
 func (f *fixture) report(id runner.ID, runs ...runner.Run) {
-	f.s.HandleReport(id, f.now, f.now, &runner.Report{
+	f.s.HandleReport(f.s.runners[id].target(), f.now, f.now, &runner.Report{
 		Incarnation: 1, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond)), Running: runs, Results: f.results[id],
 	})
 }
