sched: stop unsettled starts on the next incarnation of their runner

Two runs of one task at once, second fault: a runner that starts again under its id has forgotten fence, lease and attempts, and commands name its id only. A start without a reply, in flight, repeated, or confirmed after the poll that showed the restart was sent, was dropped as lost with the old incarnation and its task started elsewhere, while the new one carried it out or still could.

Such an attempt is now stopped on the new incarnation first; its task is free once the stop is confirmed and a later poll does not list the run. The others are lost at once as before.

TestStartCarriedOutByNextIncarnation failed before in all four cases: 'started on a before the start on a was stopped'.

--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -55,7 +55,9 @@
 	tm := newTestTerm(t, s)
 	now := clock.Now()
 	tm.state.SetRunner(runner.Info{ID: "a", Incarnation: 1, Service: "p", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, now)
-	report := func() { tm.state.HandleReport(runner.Target{ID: "a", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, now, now, &runner.Report{Incarnation: 1, Clock: 1000}) }
+	report := func() {
+		tm.state.HandleReport(runner.Target{ID: "a", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, now, now, &runner.Report{Incarnation: 1, Clock: 1000})
+	}
 	open := func() bool {
 		it, err := s.Get(t.Context(), job.RosterKey)
 		if err != nil {
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -41,10 +41,12 @@
 			i = *rs.announced
 		}
 		i.Incarnation, i.Addr = in, from.Addr
+		unsettled := s.takeUnsettled(rs, sent)
 		if !rs.ended {
 			s.endIncarnation(rs, restarted, now)
 		}
 		s.renew(rs, i)
+		s.stopUnsettled(rs, unsettled, now)
 	default:
 		rs.Incarnation, rs.announced = in, nil
 	}
@@ -52,6 +54,31 @@
 	s.indexMachine(rs)
 }
 
+// takeUnsettled removes and returns the runs on a restarted runner whose start the
+// next incarnation may carry out, or has just carried out: it has the same ID,
+// but neither the lease nor the attempts of the previous one. The poll that
+// showed the restart was sent at the time sent.
+func (s *State) takeUnsettled(rs *runnerState, sent clock.BootTime) []*run {
+	var unsettled []*run
+	for _, r := range runsOf(rs) {
+		if r.startUnknown || r.phase == starting || !sent.After(r.confirmedAt) {
+			rs.remove(r)
+			unsettled = append(unsettled, r)
+		}
+	}
+	return unsettled
+}
+
+// stopUnsettled stops runs on the incarnation after the one that they were
+// started on. It rejects their starts once it has confirmed the stops.
+func (s *State) stopUnsettled(rs *runnerState, runs []*run, now clock.BootTime) {
+	for _, old := range runs {
+		r := &run{task: old.task, attempt: old.attempt, runner: rs, demand: old.demand, scheduledAt: now, throttle: 100, startUnknown: true}
+		rs.add(r)
+		s.stop(r, restarted.String())
+	}
+}
+
 // RunnerReplaced records that another runner replied to a command. The runner
 // that the command was meant for has ended if it replied at this address before;
 // otherwise the address was wrong.
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -88,3 +88,47 @@
 	f.replaced(start.To.ID, old) // the reply to a stop that was repeated there
 	f.wantNoStart("after a reply at the address of an earlier incarnation")
 }
+
+// TestStartCarriedOutByNextIncarnation guards against a task that is started
+// elsewhere while the next incarnation of its runner may carry out the start
+// that was meant for the previous one.
+func TestStartCarriedOutByNextIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply func(f *fixture, c Command)
+	}{
+		{"without reply", func(f *fixture, c Command) { f.s.HandleReply(&c, runner.Reply{}, false, true, f.now) }},
+		{"in flight", func(*fixture, Command) {}},
+		{"confirmed after the poll was sent", func(f *fixture, c Command) { f.accept([]Command{c}) }},
+		{"repeated and then confirmed", func(f *fixture, c Command) {
+			f.s.HandleReply(&c, runner.Reply{}, false, true, f.now-second)
+			f.s.HandleReply(&c, runner.Reply{}, true, true, f.now-second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.runner("a", "b")
+			f.job(1, job1)
+			start := ofKind(f.plan(), StartRun)[0]
+			sent := f.now
+			f.now += second
+			c.reply(f, start)
+			f.reportOf(start.To.ID, 2, sent)
+			f.s.RosterStored(f.s.Roster(f.now, false))
+			commands := f.plan()
+			if got := ofKind(commands, StartRun); len(got) != 0 {
+				t.Fatalf("started on %s before the start on %s was stopped", got[0].To.ID, start.To.ID)
+			}
+			stops := ofKind(commands, StopRun)
+			if len(stops) != 1 || stops[0].To.ID != start.To.ID || stops[0].Attempt != start.Attempt {
+				t.Fatalf("commands %v, want a stop of the start", commands)
+			}
+			f.accept(stops)
+			f.now += second
+			f.reportOf(start.To.ID, 2, f.now)
+			if got := ofKind(f.plan(), StartRun); len(got) != 1 || got[0].Attempt <= start.Attempt {
+				t.Errorf("commands %v, want a start with a higher attempt", got)
+			}
+		})
+	}
+}
