sched: the roster names the incarnation that may be used

A leader that has lost its key, and cannot store the roster, went on to use the new incarnation, to extend its lease and to start tasks there, while the present leader counted its runs as ended.

A roster entry names the incarnation that replied. Another one under the same id gets no starts and no longer lease until the roster is stored again, which only the present leader can do. The next term polls the address at which that incarnation replied, whatever the entry says.

TestFormerLeaderUsesNextIncarnation failed before ('started on an incarnation that the stored roster does not name'). The recorded bytes of the roster changed with the field; a roster without it decodes as before.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -48,9 +48,15 @@
 		s.renew(rs, i)
 		s.stopUnsettled(rs, unsettled, now)
 	default:
+		if rs.announced != nil {
+			s.setInfo(rs, *rs.announced)
+		}
 		rs.Incarnation, rs.announced = in, nil
 	}
 	rs.confirmedAddr = from.Addr
+	if s.rostered[rs.ID] && s.storedRoster[rs.ID].Incarnation != in {
+		s.rostered[rs.ID] = false
+	}
 	s.indexMachine(rs)
 }
 
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -132,3 +132,36 @@
 		})
 	}
 }
+
+// TestFormerLeaderUsesNextIncarnation guards against a leader that has lost its
+// key and starts tasks on an incarnation which the present leader may not know:
+// that one has forgotten the fence.
+func TestFormerLeaderUsesNextIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.reportOf("a", 2, f.now)
+	f.job(1, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		t.Fatalf("%s started on an incarnation that the stored roster does not name", got[0].Task)
+	}
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts after the roster was stored, want 1", len(got))
+	}
+}
+
+// TestRestartAcrossTerms guards against a runner whose entry is ignored because
+// it started again between two terms.
+func TestRestartAcrossTerms(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1}})
+	i := info("a", "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	f.reportOf("a", 2, f.now)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.job(1, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts on the runner that started again, want 1", len(got))
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -28,15 +28,20 @@
 	Tasks     []string      `cbor:"4,keyasint,omitempty"`
 	// Addr allows a later term to poll a deregistered runner.
 	Addr netip.AddrPort `cbor:"5,keyasint"`
+	// Incarnation is the one that replied at Addr; zero if it is not known. The
+	// entry does not allow the use of another one: a former leader, which cannot
+	// store the roster, must not use one that the present leader may not know.
+	Incarnation runner.Incarnation `cbor:"6,keyasint,omitempty"`
 }
 
 // inherited is a roster entry of a previous term whose runner has not replied
 // in this term.
 type inherited struct {
-	closed bool
-	addr   netip.AddrPort
-	until  clock.BootTime // no run of a previous term outlasts this time
-	tasks  []job.Task
+	closed      bool
+	addr        netip.AddrPort
+	incarnation runner.Incarnation
+	until       clock.BootTime // no run of a previous term outlasts this time
+	tasks       []job.Task
 }
 
 const (
@@ -52,7 +57,7 @@
 // first plan of the term.
 func (s *State) InheritRoster(entries []RosterEntry) {
 	for _, e := range entries {
-		in := &inherited{closed: e.Closed, addr: e.Addr, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
 		if e.Closed || e.Remaining > 0 {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
 		}
@@ -70,11 +75,15 @@
 		if !e.Addr.IsValid() {
 			continue
 		}
-		if s.runners[e.ID] == nil {
-			s.runners[e.ID] = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr})
-			s.addToPool(s.runners[e.ID])
+		rs := s.runners[e.ID]
+		if rs == nil {
+			rs = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr, Incarnation: e.Incarnation})
+			s.runners[e.ID] = rs
+			s.addToPool(rs)
+		}
+		if rs.Incarnation == e.Incarnation || e.Incarnation == 0 {
+			rs.confirmedAddr = e.Addr
 		}
-		s.runners[e.ID].confirmedAddr = e.Addr
 	}
 	s.RosterStored(entries)
 }
@@ -100,7 +109,7 @@
 
 // equal reports whether two entries of a runner are the same.
 func (e RosterEntry) equal(o RosterEntry) bool {
-	return e.Closed == o.Closed && e.Remaining == o.Remaining && e.Addr == o.Addr && slices.Equal(e.Tasks, o.Tasks)
+	return e.Incarnation == o.Incarnation && e.Closed == o.Closed && e.Remaining == o.Remaining && e.Addr == o.Addr && slices.Equal(e.Tasks, o.Tasks)
 }
 
 // RosterChanged reports whether the roster that must be stored now differs from
@@ -166,7 +175,7 @@
 
 // entry returns the roster entry of a runner that has not replied in this term.
 func (in *inherited) entry(id runner.ID, now clock.BootTime) RosterEntry {
-	e := RosterEntry{ID: id, Closed: in.closed, Remaining: max(roundRemaining(in.until.Sub(now)), remainingStep), Addr: in.addr}
+	e := RosterEntry{ID: id, Closed: in.closed, Remaining: max(roundRemaining(in.until.Sub(now)), remainingStep), Addr: in.addr, Incarnation: in.incarnation}
 	if in.closed {
 		for _, t := range in.tasks {
 			e.Tasks = append(e.Tasks, t.String())
@@ -183,7 +192,7 @@
 		return RosterEntry{}, false
 	}
 	if !rs.unreachable && !closing {
-		return RosterEntry{ID: rs.ID, Addr: rs.confirmedAddr}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
+		return RosterEntry{ID: rs.ID, Addr: rs.confirmedAddr, Incarnation: rs.Incarnation}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
 	}
 	if len(rs.runs) == 0 && !rs.hasUnacked() {
 		return RosterEntry{}, false
@@ -192,7 +201,7 @@
 	if closing {
 		remaining = s.Limits.MaxRunnerLease
 	}
-	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.confirmedAddr}
+	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.confirmedAddr, Incarnation: rs.Incarnation}
 	for _, x := range runsOf(rs) {
 		e.Tasks = append(e.Tasks, x.task.name.String())
 	}
@@ -215,7 +224,8 @@
 	clear(s.rostered)
 	s.storedRoster = make(map[runner.ID]RosterEntry, len(entries))
 	for _, e := range entries {
-		s.rostered[e.ID] = !e.Closed && e.Remaining == 0
+		rs := s.runners[e.ID]
+		s.rostered[e.ID] = !e.Closed && e.Remaining == 0 && (rs == nil || e.Incarnation == rs.Incarnation || !rs.isConfirmed())
 		s.storedRoster[e.ID] = e
 	}
 }
