crash, sched: give up a task that crashes the runners that start it

A run that ended with its runner was logged as lost and started again without a count: only runs that a runner reports as failed end a job.

Package crash, pure, decides who is to blame for a crash, and sched applies it. The runs that had just been started are suspected; a suspect is started again only on a runner that gets no other start before it has gone on, so that a second crash there concerns its job alone and ends it. A run that ends with a result, or goes on for 3 s, clears its task. Drains, moves and maintenance charge nobody. The record is stored with the job's progress before the task is started again, and so is the count of the starts of suspects, for leaders that end before they see the crash.

--- /dev/null
+++ b/internal/crash/crash.go
@@ -0,0 +1,96 @@
+package crash
+
+import (
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+const (
+	// FreshFor is how long after its start a run is suspected first: a task that
+	// crashes the runners that start it does so at once. It covers the delay of
+	// the replies from which start and crash are dated.
+	FreshFor = 150 * time.Millisecond
+	// ProvenAfter is how long a run must go on to clear its task.
+	ProvenAfter = 3 * time.Second
+	// MaxCrashes is after how many crashes a task is given up if the last one
+	// followed its start alone.
+	MaxCrashes = 2
+	// MaxSharedCrashes is the same if other jobs may have caused the last crash.
+	MaxSharedCrashes = 4
+	// MaxUnresolved is how many starts of a suspect may remain of which it is not
+	// known whether they crashed the runner.
+	MaxUnresolved = 2
+)
+
+// Record is what is known of the crashes of runners under a task. The zero value
+// is that of a task without any.
+type Record struct {
+	Crashes    int  // runners that crashed under the task since a run last cleared it
+	Suspect    bool // the task is started only apart from other jobs
+	Unresolved int  // starts as a suspect of which it is not known whether they crashed the runner
+}
+
+// Exhausted reports whether a suspect must not be started again, because too
+// many of its starts may have crashed a runner unseen.
+func (r Record) Exhausted() bool { return r.Unresolved >= MaxUnresolved }
+
+// Run is a run that was on a runner when the runner crashed.
+type Run struct {
+	Record
+	Job job.ID
+	// ConfirmedAt is when the leader first knew that the runner had carried out
+	// the start; zero if it never knew.
+	ConfirmedAt clock.BootTime
+}
+
+// IsFresh reports whether a run that was confirmed at a time, or never, may have
+// crashed its runner, which last replied at heard, just after its start.
+func IsFresh(confirmedAt, heard clock.BootTime) bool {
+	return confirmedAt == 0 || confirmedAt.After(heard.Add(-FreshFor))
+}
+
+// IsProven reports whether a run that was confirmed at a time clears its task if
+// it goes on at now.
+func IsProven(confirmedAt, now clock.BootTime) bool {
+	return confirmedAt != 0 && now.Sub(confirmedAt) >= ProvenAfter
+}
+
+// Verdict is the decision on the task of a run.
+type Verdict struct {
+	Record
+	Charged bool // the crash counts against the task
+	GiveUp  bool // the job of the task fails
+}
+
+// Charge decides on the runs of a runner that has crashed, in their order, given
+// when it last replied. A suspect that had just been started takes all of the
+// blame. Without one, the runs that had just been started are suspected, and the
+// others as well if it is not the first crash for them.
+func Charge(runs []Run, heard clock.BootTime) []Verdict {
+	verdicts := make([]Verdict, len(runs))
+	tried := false
+	fresh := make(map[job.ID]bool)
+	for i := range runs {
+		r := &runs[i]
+		verdicts[i].Record = r.Record
+		if IsFresh(r.ConfirmedAt, heard) {
+			fresh[r.Job] = true
+			tried = tried || r.Suspect
+		}
+	}
+	for i := range runs {
+		r, v := &runs[i], &verdicts[i]
+		isFresh := IsFresh(r.ConfirmedAt, heard)
+		if tried && (!isFresh || !r.Suspect) {
+			continue
+		}
+		v.Charged, v.Unresolved = true, 0
+		v.Crashes++
+		v.Suspect = r.Suspect || isFresh || v.Crashes >= MaxCrashes
+		alone := isFresh && len(fresh) == 1
+		v.GiveUp = r.Suspect && (alone && v.Crashes >= MaxCrashes || v.Crashes >= MaxSharedCrashes)
+	}
+	return verdicts
+}
--- /dev/null
+++ b/internal/crash/crash_test.go
@@ -0,0 +1,59 @@
+package crash
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+)
+
+const heard = clock.BootTime(100 * time.Second)
+
+// before returns the time d before the runner last replied.
+func before(d time.Duration) clock.BootTime { return heard.Add(-d) }
+
+func suspect(crashes int) Record { return Record{Crashes: crashes, Suspect: true, Unresolved: 1} }
+
+// TestBystanderBlamed guards against a job that fails for the crashes of another
+// one on the same runner, and against a task that crashes runner after runner.
+func TestBystanderBlamed(t *testing.T) {
+	old, fresh := before(time.Second), before(20*time.Millisecond)
+	for _, c := range []struct {
+		name    string
+		runs    []Run
+		charged []int // indexes of the runs that are charged
+		suspect []int // of those that are suspected afterwards
+		given   []int
+	}{
+		{"the runs that had just been started", []Run{{Job: "a", ConfirmedAt: old}, {Job: "b", ConfirmedAt: fresh}, {Job: "c"}}, []int{0, 1, 2}, []int{1, 2}, nil},
+		{"a second crash under a run that had gone on", []Run{{Job: "a", ConfirmedAt: old, Record: Record{Crashes: 1}}, {Job: "b", ConfirmedAt: fresh}}, []int{0, 1}, []int{0, 1}, nil},
+		{"a suspect that was started alone", []Run{{Job: "a", ConfirmedAt: old}, {Job: "b", ConfirmedAt: fresh, Record: suspect(1)}}, []int{1}, []int{1}, []int{1}},
+		{"all suspects of the job", []Run{{Job: "b", Record: suspect(1)}, {Job: "b", ConfirmedAt: fresh, Record: suspect(1)}}, []int{0, 1}, []int{0, 1}, []int{0, 1}},
+		{"a suspect beside a start of another job", []Run{{Job: "a", ConfirmedAt: fresh}, {Job: "b", ConfirmedAt: fresh, Record: suspect(1)}}, []int{1}, []int{1}, nil},
+		{"a suspect that had gone on", []Run{{Job: "a", ConfirmedAt: old, Record: suspect(1)}}, []int{0}, []int{0}, nil},
+		{"a suspect that had gone on, beside the culprit", []Run{{Job: "a", ConfirmedAt: old, Record: suspect(1)}, {Job: "b", ConfirmedAt: fresh, Record: suspect(1)}}, []int{1}, []int{0, 1}, []int{1}},
+		{"a task that crashes its runners later", []Run{{Job: "a", ConfirmedAt: old, Record: suspect(3)}}, []int{0}, []int{0}, []int{0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var charged, suspects, given []int
+			for i, v := range Charge(c.runs, heard) {
+				if v.Charged {
+					charged = append(charged, i)
+				}
+				if v.Suspect {
+					suspects = append(suspects, i)
+				}
+				if v.GiveUp {
+					given = append(given, i)
+				}
+				if v.Charged && (v.Crashes != c.runs[i].Crashes+1 || v.Unresolved != 0) {
+					t.Errorf("run %d: record %+v after %+v", i, v.Record, c.runs[i].Record)
+				}
+			}
+			if !slices.Equal(charged, c.charged) || !slices.Equal(suspects, c.suspect) || !slices.Equal(given, c.given) {
+				t.Errorf("charged %v, suspected %v, given up %v, want %v, %v, %v", charged, suspects, given, c.charged, c.suspect, c.given)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/crash/doc.go
@@ -0,0 +1,33 @@
+// Package crash decides which tasks are suspected of crashing the runners that
+// start them, which of those may be started again, and when one is given up. It
+// is pure: package sched reports what was on a runner when it crashed, stores
+// the records and places the suspects.
+//
+// It answers a task that crashes each runner that starts it. Such a task never
+// has a result, so a limit on failed runs does not end it; it takes down one
+// runner after the other, and with it the work of other jobs on those runners.
+//
+// # Suspects and bystanders
+//
+// A crash does not tell which of the runs on the runner caused it. A run whose
+// start the runner had only just carried out is suspected; one that had run for
+// a while is not, until a second runner crashes under its task. A suspect is
+// started again only on a runner that has no unproven runs of other jobs, so that
+// the next crash there concerns its job alone. A second crash that follows such a
+// start ends the job; a bystander completes there and is cleared.
+//
+// # Ordinary crashes
+//
+// Runners also crash by themselves, alone or with their rack or zone. A task
+// that was started at such a moment is suspected, run apart and cleared. It is
+// given up only if the runner of its next run crashes as well, just after the
+// start. A run that goes on for ProvenAfter, or ends with a result, clears its
+// task.
+//
+// # Change of leader
+//
+// A record is stored before its task is started again, and each start of a
+// suspect is counted in the store before it is sent. A leader that ends before it
+// sees the crash therefore leaves a counted start, and MaxUnresolved of them end the
+// job too. A start is no longer counted once the runner has gone on after it.
+package crash
--- /dev/null
+++ b/internal/crash/model_test.go
@@ -0,0 +1,244 @@
+package crash
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+// The model starts the tasks of jobs on runners. Some tasks crash each runner
+// that starts them; no runner crashes by itself. Leaders end, before they store
+// a crash or while a start is on its way. It checks that a deadly task is not
+// started a third time after three crashes, and that no other job is given up.
+
+const (
+	modelStarts      = 2 // starts that are allowed after the third crash
+	modelCrashes     = 3
+	modelUnseen      = 2 // crashes of a task that no leader sees before it is suspected
+	modelJobs        = 6
+	modelRunners     = 3
+	modelDeadlyAfter = 30 * time.Millisecond
+)
+
+type modelTask struct {
+	id      job.ID
+	deadly  bool
+	record  Record // of the present leader
+	stored  Record
+	on      int // runner, or -1
+	since   clock.BootTime
+	crashes int // by the runners' count
+	unseen  int
+	late    int // starts after the third crash
+	ended   bool
+}
+
+type model struct {
+	t        *rapid.T
+	now      clock.BootTime
+	tasks    []*modelTask
+	isolated [modelRunners]*modelTask // the suspect for which a runner is kept
+	weakest  string
+}
+
+func (m *model) runs(on int) []*modelTask {
+	var ts []*modelTask
+	for _, x := range m.tasks {
+		if x.on == on && !x.ended {
+			ts = append(ts, x)
+		}
+	}
+	return ts
+}
+
+// allowed reports whether a task may be started on a runner, by the rules that
+// the package comment states.
+func (m *model) allowed(x *modelTask, on int) bool {
+	if m.weakest == "isolation" {
+		return true
+	}
+	if t := m.isolated[on]; t != nil && t != x {
+		if t.on == on && IsFresh(t.since, m.now) {
+			return false
+		}
+		m.isolated[on] = nil
+	}
+	if !x.record.Suspect {
+		return true
+	}
+	for _, o := range m.runs(on) {
+		if IsFresh(o.since, m.now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *model) start(t *rapid.T) {
+	x := rapid.SampledFrom(m.tasks).Draw(t, "task")
+	on := rapid.IntRange(0, modelRunners-1).Draw(t, "runner")
+	if x.ended || x.on >= 0 || !m.allowed(x, on) {
+		return
+	}
+	if x.record.Suspect {
+		if x.record.Exhausted() {
+			m.giveUp(x)
+			return
+		}
+		if m.weakest != "unresolved" {
+			x.record.Unresolved++
+			x.stored = x.record
+		}
+		m.isolated[on] = x
+	}
+	x.on, x.since = on, m.now
+	if x.deadly && x.crashes >= modelCrashes {
+		if x.late++; x.late > modelStarts {
+			m.t.Fatalf("task %s started %d times after %d crashes, record %+v", x.id, x.late, x.crashes, x.record)
+		}
+	}
+	if x.deadly {
+		m.crash(on, rapid.IntRange(0, 4).Draw(t, "leader ends") == 0)
+	}
+}
+
+// crash lets a runner crash after the start of a deadly task, which the leader
+// sees unless it ends before.
+func (m *model) crash(on int, unseen bool) {
+	runs := m.runs(on)
+	for _, x := range runs {
+		x.on = -1
+		x.crashes++
+		if unseen = unseen && (x.record.Suspect || x.unseen < modelUnseen || !x.deadly); !unseen {
+			continue
+		}
+		if !x.record.Suspect {
+			x.unseen++
+		}
+	}
+	m.isolated[on] = nil
+	heard := m.now
+	m.now = m.now.Add(modelDeadlyAfter)
+	if unseen {
+		for _, x := range m.tasks {
+			x.record = x.stored
+		}
+		return
+	}
+	var rs []Run
+	for _, x := range runs {
+		rs = append(rs, Run{Record: x.record, Job: x.id, ConfirmedAt: x.since})
+	}
+	for i, v := range Charge(rs, heard) {
+		x := runs[i]
+		x.record = v.Record
+		if m.weakest != "stored" {
+			x.stored = v.Record
+		}
+		if v.GiveUp || m.weakest == "alone" && v.Charged && v.Crashes >= MaxCrashes {
+			m.giveUp(x)
+		}
+	}
+}
+
+func (m *model) giveUp(x *modelTask) {
+	x.ended = true
+	if !x.deadly && x.crashes < MaxSharedCrashes {
+		m.t.Fatalf("task %s, which crashes no runner, given up with record %+v after %d crashes", x.id, x.record, x.crashes)
+	}
+}
+
+// finish lets a run end with a result, which clears its task.
+func (m *model) finish(t *rapid.T) {
+	x := rapid.SampledFrom(m.tasks).Draw(t, "task")
+	if x.on < 0 || x.ended || m.now.Sub(x.since) < modelDeadlyAfter {
+		return
+	}
+	x.ended = true
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(5, 300).Draw(t, "ms")) * time.Millisecond)
+	for _, x := range m.tasks {
+		if x.on >= 0 && x.record.Unresolved > 0 && !IsFresh(x.since, m.now) {
+			x.record.Unresolved = 0
+			x.stored = x.record
+		}
+	}
+}
+
+// checkModel runs the model; weakest names a safeguard to leave out: "isolation",
+// starting suspects apart; "stored", storing a record before the task is started
+// again; "unresolved", counting the starts of suspects; "alone", giving up only a
+// task that had been started alone.
+func checkModel(weakest string) func(*rapid.T) {
+	return func(t *rapid.T) {
+		m := &model{t: t, now: clock.BootTime(100 * time.Second), weakest: weakest}
+		for i := range modelJobs {
+			m.tasks = append(m.tasks, &modelTask{id: job.ID(fmt.Sprint(i)), deadly: i < 2, on: -1})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": m.start, "start2": m.start, "start3": m.start, "finish": m.finish, "pass": m.pass,
+		})
+	}
+}
+
+// TestDeadlyTaskStartedAgain guards against a task that crashes runner after
+// runner, and against a job that fails for the crashes of another one, also where
+// leaders end before they have seen a crash.
+func TestDeadlyTaskStartedAgain(t *testing.T) {
+	rapid.Check(t, checkModel(""))
+}
+
+// recorder records whether a property failed, without failing the test.
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+
+// TestModelFindsFaults guards against a model that checks nothing: it must fail
+// when a safeguard is left out.
+func TestModelFindsFaults(t *testing.T) {
+	for _, f := range [][2]string{{"rapid.shrinktime", "0s"}, {"rapid.nofailfile", "true"}, {"rapid.checks", "20000"}, {"rapid.steps", "100"}} {
+		old := flag.Lookup(f[0]).Value.String()
+		if err := flag.Set(f[0], f[1]); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := flag.Set(f[0], old); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	for _, weakest := range []string{"isolation", "stored", "unresolved", "alone"} {
+		t.Run(weakest, func(t *testing.T) {
+			r := &recorder{TB: t}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				rapid.Check(r, checkModel(weakest))
+			}()
+			<-ended
+			if !r.failed {
+				t.Errorf("model passes without the safeguard %q", weakest)
+			}
+		})
+	}
+}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -36,6 +36,10 @@
 	// Attempt is the highest recorded attempt that was started or reserved.
 	Attempt    int    `cbor:"6,keyasint,omitempty"`
 	Checkpoint string `cbor:"7,keyasint,omitempty"` // newest checkpoint
+	// Crashes, Suspect and Unresolved are the record of package crash.
+	Crashes    int  `cbor:"8,keyasint,omitempty"`
+	Suspect    bool `cbor:"9,keyasint,omitempty"`
+	Unresolved int  `cbor:"10,keyasint,omitempty"`
 }
 
 // Progress is the durable record of a job's progress. The leader writes it. A
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -206,6 +206,7 @@
 		}
 		return !r.runner.unreachable
 	}
+	r.runner.lastReply = now
 	switch c.Kind {
 	case StartRun:
 		s.handleStartReply(r, reply, now)
@@ -250,6 +251,7 @@
 		return
 	}
 	rs.remove(r)
+	s.startResolved(r.task)
 	r.task.endedAt = now
 	if reply.Verdict == runner.NoPermit {
 		delete(r.task.step.permits.byRunner, rs.ID)
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -30,6 +30,10 @@
 func (s *State) confirm(rs *runnerState, from runner.Target, in runner.Incarnation, sent, now clock.BootTime) {
 	switch {
 	case in == rs.Incarnation:
+		for _, r := range rs.abandoned {
+			s.startResolved(r.task) // it lapsed
+		}
+		rs.abandoned = nil
 		if rs.announced != nil && sent.After(rs.announcedAt) {
 			s.Logger.Log("msg", "runner entry ignored: an earlier incarnation replies", "runner", rs.ID, "addr", from.Addr,
 				"incarnation", int64(in), "announced", int64(rs.announced.Incarnation))
@@ -41,6 +45,9 @@
 			i = *rs.announced
 		}
 		i.Incarnation, i.Addr = in, from.Addr
+		if !rs.ended {
+			s.chargeCrash(rs, restarted, now)
+		}
 		unsettled := s.takeUnsettled(rs, sent)
 		if !rs.ended {
 			s.endIncarnation(rs, restarted, now)
@@ -96,6 +103,7 @@
 	case rs.ended:
 	case at.Addr == rs.confirmedAddr:
 		s.Logger.Log("msg", "runner replaced by another at its address", "runner", rs.ID, "addr", at.Addr, "runs", len(rs.runs))
+		s.chargeCrash(rs, replaced, now)
 		s.endIncarnation(rs, replaced, now)
 	case at.Addr == rs.target().Addr:
 		if !rs.unreachable {
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -126,7 +126,7 @@
 			f.accept(stops)
 			f.now += second
 			f.reportOf(start.To.ID, 2, f.now)
-			if got := ofKind(f.plan(), StartRun); len(got) != 1 || got[0].Attempt <= start.Attempt {
+			if got := f.settle(5); len(got) != 1 || got[0].Attempt <= start.Attempt {
 				t.Errorf("commands %v, want a start with a higher attempt", got)
 			}
 		})
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -59,9 +60,11 @@
 	// unreachable, so that the run may have ended as done.
 	possibleResult bool
 	// reserved is the attempt number of the next run, stored with the job's
-	// progress of version reservedVersion or later; 0: none.
+	// progress of version reservedVersion or later; 0: none. So is the record
+	// of a suspect.
 	reserved        int
 	reservedVersion uint64
+	crashes         crash.Record
 }
 
 // live reports whether a run may exist.
@@ -128,6 +131,7 @@
 	rev                    kv.Revision    // of the progress in the store; 0: none
 	closed                 clock.BootTime // when the outcome was set
 	storedTasks            map[job.Task]*job.TaskProgress
+	isolatedOn             *runnerState // isolated for its suspects; nil: none
 }
 
 func (js *jobState) open() bool { return js.outcome == job.Open && !js.cancelled }
@@ -147,6 +151,7 @@
 			t := &task{job: js, step: s, name: job.Task{Job: js.def.ID, Occ: n, Step: i, Index: k}}
 			if p := js.storedTasks[t.name]; p != nil {
 				t.done, t.failed, t.attempt, t.checkpoint = p.Done, p.Failed, p.Attempt, p.Checkpoint
+				t.crashes = crash.Record{Crashes: p.Crashes, Suspect: p.Suspect, Unresolved: p.Unresolved}
 				if t.done {
 					s.done++
 				}
@@ -231,7 +236,7 @@
 	for _, o := range js.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if !t.done && len(t.failed) == 0 && t.attempt == 0 {
+				if !t.done && len(t.failed) == 0 && t.attempt == 0 && t.crashes == (crash.Record{}) {
 					continue
 				}
 				r := job.TaskProgress{
@@ -240,6 +245,7 @@
 				}
 				if !t.done {
 					r.Checkpoint = t.checkpoint
+					r.Crashes, r.Suspect, r.Unresolved = t.crashes.Crashes, t.crashes.Suspect, t.crashes.Unresolved
 				}
 				p.Tasks = append(p.Tasks, r)
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -46,6 +46,9 @@
 		if rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now) {
 			rs = s.choose(runners, t, now)
 		}
+		if rs == nil && t.crashes.Suspect {
+			continue // it waits for an isolated runner
+		}
 		if rs == nil {
 			break // the other tasks of the step have the same demand
 		}
@@ -55,7 +58,7 @@
 			// tasks is also best for the next, as long as that fits.
 			last = rs
 		}
-		if attempt := s.nextAttempt(t); s.reserve(t, attempt) {
+		if attempt := s.nextAttempt(t); s.reserve(t, attempt, now) {
 			s.schedule(t, rs, attempt, now)
 			started = true
 			if !group.extend(t, rs, attempt) {
@@ -117,7 +120,7 @@
 // allowed reports whether a task may run on a runner.
 func (s *State) allowed(rs *runnerState, t *task, now clock.BootTime) bool {
 	sp := t.step.spec
-	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) {
+	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) || !s.isolationAllows(rs, t) {
 		return false
 	}
 	if rs.runs[t.name] != nil || !sp.LongRunning && rs.heldUntil.After(now) {
@@ -196,7 +199,7 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if !s.reserve(t, attempt) {
+			if !s.reserve(t, attempt, now) {
 				chosen = nil
 			}
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -24,6 +24,7 @@
 		s.resend()
 		s.releaseDue(wall)
 		s.planWaves(now)
+		s.planIsolation(now)
 		s.planPools(now)
 	}
 	for svc, jobs := range s.open {
@@ -136,6 +137,7 @@
 			for _, r := range runsOf(rs) {
 				s.runLost(r, "lease expired", now)
 				r.task.possibleResult = true
+				rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
 				if !r.task.step.spec.LongRunning {
 					r.task.notBefore = now.Add(returnGrace)
 				}
@@ -170,7 +172,7 @@
 
 // startable reports whether a task may be started now.
 func (s *State) startable(t *task, now clock.BootTime) bool {
-	if t.done || t.live() || t.notBefore.After(now) {
+	if t.done || !t.job.open() || t.live() || t.notBefore.After(now) {
 		return false
 	}
 	return s.runsKnown(t)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -148,8 +149,8 @@
 		if len(rs.runs) > 0 {
 			p.Wait = busyPollWait
 		}
-		if len(rs.unacked) > 0 && rs.withheld == 0 {
-			p.Wait = 0 // the runner would reply at once
+		if len(rs.unacked) > 0 && rs.withheld == 0 || rs.isolated != nil {
+			p.Wait = 0 // the runner would reply at once, or the end of an isolation waits for the reply
 		}
 	}
 	return p, true
@@ -226,6 +227,9 @@
 		r.phase = running
 	}
 	r.percent, r.load = reported.Percent, reported.Load
+	if crash.IsProven(r.confirmedAt, now) {
+		s.clearCrashes(r.task)
+	}
 	if reported.ReportsLoad {
 		r.recordLoad(now)
 	}
@@ -285,8 +289,10 @@
 		}
 		switch {
 		case r.phase == stopping && r.stopConfirmed != 0 && sent.After(r.stopConfirmed):
+			s.startResolved(r.task)
 			s.runLost(r, "stopped before it began", now)
 		case r.phase != starting && r.confirmedAt != 0 && sent.After(r.confirmedAt) && r.phase != stopping:
+			s.startResolved(r.task)
 			s.runLost(r, "runner does not list it", now)
 		}
 	}
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -1,6 +1,9 @@
 package sched
 
-import "gypsumtrestle.example/gypsumtrestle/internal/kv"
+import (
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+)
 
 // A run on a runner that became unreachable may have ended as done before its
 // lease expired. Once the task has been started again, that result must never
@@ -18,13 +21,21 @@
 }
 
 // reserve reports whether a run of a task may be started with an attempt
-// number. If the task may have an unreported result, the store must hold the
-// number first.
-func (s *State) reserve(t *task, attempt int) bool {
-	if !s.mayHaveResult(t) {
+// number. If the task may have an unreported result, or is suspected of crashing
+// its runners, the store must hold the number first, and the count of a suspect's
+// starts.
+func (s *State) reserve(t *task, attempt int, now clock.BootTime) bool {
+	if !s.mayHaveResult(t) && !t.crashes.Suspect {
 		return true
 	}
 	if t.reserved != attempt {
+		if t.crashes.Suspect {
+			if t.crashes.Exhausted() {
+				s.giveUp(t, now)
+				return false
+			}
+			t.crashes.Unresolved++
+		}
 		t.reserved, t.attempt = attempt, max(t.attempt, attempt)
 		s.markChanged(t.job)
 		t.reservedVersion = t.job.version
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -89,6 +89,11 @@
 	if !js.open() {
 		return js
 	}
+	if res.Cause == runner.Done || res.Cause == runner.Failed {
+		s.clearCrashes(t)
+	} else {
+		s.startResolved(t)
+	}
 	switch res.Cause {
 	case runner.Done:
 		rs.health.recordSuccess()
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -52,6 +52,9 @@
 	cordoned         bool           // leaves for planned maintenance: no new starts
 	heldUntil        clock.BootTime // only long-running tasks are started before this time
 	health           health
+	isolated         *jobState      // only the suspects of this job are started; nil: no such limit
+	isolatedAt       clock.BootTime // when that began
+	abandoned        []abandonedRun
 	lastReply        clock.BootTime
 }
 
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -31,7 +31,7 @@
 				rs.blockedUntil = max(rs.blockedUntil, now.Add(stallBlockDelay))
 			}
 			slow := t.step.spec.Speculative && 2*t.step.done > len(t.step.tasks) && r.slow(now)
-			if !stalled && !slow || len(t.runs) > 1 || t.retried {
+			if !stalled && !slow || len(t.runs) > 1 || t.retried || t.crashes.Suspect {
 				continue
 			}
 			other := s.choose(runners, t, now)
--- /dev/null
+++ b/internal/sched/suspect.go
@@ -0,0 +1,290 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+// abandonedRun is a run that was given up when the lease of its runner expired.
+// The runner may have crashed.
+type abandonedRun struct {
+	task        *task
+	confirmedAt clock.BootTime
+}
+
+// chargeCrash decides which tasks are to blame for the crash of a runner: its
+// incarnation ended, and neither a command nor a drain ended it.
+func (s *State) chargeCrash(rs *runnerState, why evidence, now clock.BootTime) {
+	if rs.Draining || rs.cordoned || why != restarted && why != replaced {
+		return
+	}
+	var tasks []*task
+	var runs []crash.Run
+	add := func(t *task, confirmedAt clock.BootTime) {
+		if t.done || !t.job.open() {
+			return
+		}
+		tasks = append(tasks, t)
+		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt})
+	}
+	for _, r := range runsOf(rs) {
+		if r.confirmedAt != 0 || r.startUnknown || r.sending {
+			add(r.task, r.confirmedAt) // otherwise its start was certainly not received
+		}
+	}
+	for _, r := range rs.abandoned {
+		add(r.task, r.confirmedAt)
+	}
+	if len(runs) == 0 {
+		return
+	}
+	var given []*task
+	suspects := make(map[job.ID]bool)
+	for i, v := range crash.Charge(runs, rs.lastReply) {
+		t := tasks[i]
+		if !v.Charged {
+			continue
+		}
+		s.setCrashes(t, v.Record)
+		if v.Suspect {
+			suspects[t.name.Job] = true
+		}
+		if v.GiveUp {
+			given = append(given, t)
+		}
+	}
+	s.Logger.Log("msg", "runner crashed", "runner", rs.ID, "service", rs.Service, "why", why, "heard", now.Sub(rs.lastReply),
+		"runs", len(runs), "suspects", len(suspects), "first", firstJob(suspects), "exhausted", len(given))
+	for _, t := range given {
+		s.giveUp(t, now)
+	}
+}
+
+// firstJob returns the least ID, which stands for all in a log line.
+func firstJob(jobs map[job.ID]bool) job.ID {
+	var first job.ID
+	for id := range jobs {
+		if first == "" || id < first {
+			first = id
+		}
+	}
+	return first
+}
+
+// giveUp ends the job of a task that crashes its runners.
+func (s *State) giveUp(t *task, now clock.BootTime) {
+	if t.job.open() {
+		s.Logger.Log("msg", "task given up", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+		s.close(t.job, job.Failed, "task "+t.name.String()+" crashed its runners", now)
+	}
+}
+
+// setCrashes replaces the record of a task, to be stored.
+func (s *State) setCrashes(t *task, r crash.Record) {
+	t.crashes = r
+	s.markChanged(t.job)
+	if r.Suspect {
+		t.reservedVersion = t.job.version
+		s.suspected[t.job] = true
+	}
+}
+
+// clearCrashes clears the record of a task after a run that shows that the task
+// does not crash its runners.
+func (s *State) clearCrashes(t *task) {
+	if t.crashes != (crash.Record{}) {
+		s.setCrashes(t, crash.Record{})
+	}
+}
+
+// startResolved records that the last counted start of a suspect did not crash its
+// runner: the runner went on after it, or rejected it, or the run ended. This
+// alone does not clear the task.
+func (s *State) startResolved(t *task) {
+	if t.crashes.Unresolved > 0 {
+		r := t.crashes
+		r.Unresolved--
+		s.setCrashes(t, r)
+	}
+}
+
+// isolationAllows reports whether a task may be started on a runner as far as
+// suspects are concerned: an isolated runner takes the suspects of one job only,
+// and they go nowhere else. The members of a gang run at the same time, so that
+// they only keep apart from the suspects of other jobs.
+func (s *State) isolationAllows(rs *runnerState, t *task) bool {
+	if rs.isolated != nil {
+		return rs.isolated == t.job && t.crashes.Suspect && rs.isQuiet()
+	}
+	return !t.crashes.Suspect || t.step.spec.Gang && !rs.hasSuspects(t.job)
+}
+
+// isQuiet reports whether a crash after the next start on an isolated runner
+// would concern only the job that it is isolated for.
+func (rs *runnerState) isQuiet() bool {
+	for _, r := range rs.runs {
+		if r.task.job != rs.isolated && crash.IsFresh(r.confirmedAt, rs.lastReply) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasSuspects reports whether a suspect of another job has a run on the runner.
+func (rs *runnerState) hasSuspects(than *jobState) bool {
+	for _, r := range rs.runs {
+		if r.task.crashes.Suspect && r.task.job != than {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// isolationShare is the part of a pool's usable runners that may be isolated
+	// at the same time, so that suspects do not take a pool from other work.
+	isolationShare = 2
+	// isolationTimeout is how long a runner waits for the start of its suspects.
+	isolationTimeout = 2 * time.Second
+)
+
+// planIsolation isolates runners for the jobs with suspects that wait, and frees
+// those on which the suspects have been started and did not crash it.
+func (s *State) planIsolation(now clock.BootTime) {
+	if len(s.suspected) == 0 {
+		return
+	}
+	isolated := make(map[string]int)
+	var waiting []*jobState
+	for js := range s.suspected {
+		waits, suspected := js.suspects()
+		if js.isolatedOn != nil && s.isolationOver(js, waits, now) {
+			js.isolatedOn.isolated, js.isolatedOn = nil, nil
+		}
+		switch {
+		case js.isolatedOn != nil:
+			if !js.isolatedOn.unreachable { // otherwise it does no other work either
+				isolated[s.service(js)]++
+			}
+		case !js.open() || !suspected:
+			delete(s.suspected, js)
+		case waits:
+			waiting = append(waiting, js)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
+	})
+	for _, js := range waiting {
+		pool := s.service(js)
+		runners := s.usableRunners(pool, now)
+		if isolated[pool] >= max(1, len(runners)/isolationShare) {
+			continue
+		}
+		if rs := s.chooseIsolated(runners, js, now); rs != nil {
+			rs.isolated, rs.isolatedAt, js.isolatedOn = js, now, rs
+			isolated[pool]++
+			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
+		}
+	}
+}
+
+// isolationOver reports whether a runner is no longer needed for the suspects of
+// a job: its incarnation has ended, it went on after their starts, or they cannot
+// be started there.
+func (s *State) isolationOver(js *jobState, waits bool, now clock.BootTime) bool {
+	rs := js.isolatedOn
+	if rs.isolated != js {
+		js.isolatedOn = &runnerState{} // of an incarnation that has ended
+		return true
+	}
+	started, fresh := false, false
+	for _, r := range rs.runs {
+		if r.task.job == js && r.task.crashes.Suspect {
+			started = true
+			fresh = fresh || crash.IsFresh(r.confirmedAt, rs.lastReply)
+		}
+	}
+	if started && !fresh {
+		for _, r := range runsOf(rs) {
+			if r.task.job == js {
+				s.startResolved(r.task)
+			}
+		}
+	}
+	switch {
+	case !js.open() || rs.ended:
+	case started && fresh, rs.unreachable && started:
+		return false
+	case !started && waits && s.usable(rs, now) && now.Sub(rs.isolatedAt) < isolationTimeout:
+		return false
+	}
+	s.Logger.Log("msg", "runner isolation ended", "runner", rs.ID, "job", js.def.ID, "open", js.open(), "started", started, "took", now.Sub(rs.isolatedAt))
+	return true
+}
+
+// suspects reports whether a job has suspects that wait for an isolated runner,
+// and whether it has any.
+func (js *jobState) suspects() (waits, suspected bool) {
+	for _, o := range js.occs {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if t.crashes.Suspect && !t.done {
+					suspected = true
+					waits = waits || !st.spec.Gang && !t.live()
+				}
+			}
+		}
+	}
+	return waits, suspected
+}
+
+// chooseIsolated returns the runner on which a crash would end the fewest runs, or
+// nil.
+func (s *State) chooseIsolated(runners []*runnerState, js *jobState, now clock.BootTime) *runnerState {
+	t := js.firstWaiting()
+	if t == nil || js.storedVersion < t.reservedVersion {
+		return nil // nor would the runner do any work while the store is down
+	}
+	sp := t.step.spec
+	var best *runnerState
+	for _, rs := range runners {
+		if rs.isolated != nil || !s.usable(rs, now) || !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) ||
+			rs.health.quarantinedUntil.After(now) || !sp.LongRunning && rs.heldUntil.After(now) || !s.permitted(rs, t.step, now) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
+			best = rs
+		}
+	}
+	return best
+}
+
+// firstWaiting returns the first suspect without a run, or nil.
+func (js *jobState) firstWaiting() *task {
+	for _, o := range js.occs {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if !t.done && t.crashes.Suspect && !t.live() && !st.spec.Gang {
+					return t
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// inheritCrashes restores what a previous term stored of a task's crashes.
+func (s *State) inheritCrashes(js *jobState) {
+	for _, p := range js.storedTasks {
+		if p.Suspect && !p.Done {
+			s.suspected[js] = true
+			return
+		}
+	}
+}
