sched: release a task whose runner has shrunk before its start is sent

A start was compared with the capacity of its runner only when it was scheduled. Prepare now compares what the runner has with all that may run there. A start over it is withheld; since none was sent, the task is released and placed again, with the next attempt, and a gang as a whole.

--- a/internal/sched/capacity_test.go
+++ b/internal/sched/capacity_test.go
@@ -42,9 +42,6 @@
 	return sent
 }
 
-// loseReply records that a command was sent and had no reply.
-func (f *fixture) loseReply(c Command) { f.s.HandleReply(&c, runner.Reply{}, false, true, f.now) }
-
 // runAll starts all tasks that fit on a runner and reports them as running.
 func (f *fixture) runAll(id runner.ID) []runner.Run {
 	f.t.Helper()
@@ -179,3 +176,62 @@
 		t.Errorf("%d machines needed with a quarter of the capacity, %d before", after, before)
 	}
 }
+
+// TestShrunkBeforeStartIsSent guards against a start that is sent though the
+// runner has shrunk since it was scheduled, and against a task that then waits
+// for that runner while another one has capacity.
+func TestShrunkBeforeStartIsSent(t *testing.T) {
+	forBoth(t, func(t *testing.T, f *fixture) {
+		f.runner("a")
+		f.job(1, job.Step{Count: 2})
+		runs := f.runAll("a")
+		f.job(2, job.Step{Count: 2})
+		starts := ofKind(f.plan(), StartRun)
+		f.resize("a", 3000, 8000)
+		f.now += 10 * second
+		f.report("a", runs...)
+		sent := f.prepared(starts)
+		wantStarts(t, sent, 1, "at 3 of 4 cores")
+		f.accept(sent)
+		f.runner("b")
+		commands := f.plan()
+		if got := ofKind(commands, StopRun); len(got) != 0 {
+			t.Errorf("stops %v of a run of which no start was sent", got)
+		}
+		if got := f.prepared(ofKind(commands, StartRun)); len(got) != 1 || got[0].To.ID != "b" {
+			t.Errorf("starts %v, want the other task on the other runner", got)
+		}
+	})
+}
+
+// TestGangOnShrunkRunner guards against a gang of which some members are started
+// and others are not, because a runner has shrunk since they were scheduled.
+func TestGangOnShrunkRunner(t *testing.T) {
+	forBoth(t, func(t *testing.T, f *fixture) {
+		f.runner("a", "b")
+		f.job(1, job.Step{Count: 3, Gang: true, Resources: job.Resources{CPU: 2000, Mem: 1}})
+		starts := ofKind(f.plan(), StartRun)
+		if len(starts) != 3 {
+			t.Fatalf("%d starts, want 3", len(starts))
+		}
+		f.resize("a", 1000, 8000)
+		f.resize("b", 1000, 8000)
+		if got := f.prepared(starts); len(got) != 0 {
+			t.Errorf("%v sent to runners on which they do not fit", got)
+		}
+		f.accept(f.prepared(ofKind(f.plan(), StopRun)))
+		f.now += second
+		f.report("a")
+		f.report("b")
+		f.runner("c", "d")
+		again := f.prepared(ofKind(f.plan(), StartRun))
+		if len(again) != 3 {
+			t.Fatalf("%d starts on other runners, want all 3 members", len(again))
+		}
+		for _, c := range again {
+			if c.Attempt < 2 || c.Attempt != again[0].Attempt {
+				t.Errorf("attempt numbers differ or are reused: %v", again)
+			}
+		}
+	})
+}
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -146,8 +146,8 @@
 	return r
 }
 
-// Prepare reports whether a command is still needed. For a start it returns the
-// content, with the current lease end.
+// Prepare reports whether a command is still needed and may be sent. For a start
+// it returns the content, with the current lease end.
 func (s *State) Prepare(c *Command, now clock.BootTime) (runner.Start, bool) {
 	r := s.findRun(c)
 	st, needed := s.prepare(c, r, now)
@@ -166,7 +166,7 @@
 		return runner.Start{}, r != nil && r.phase == running && r.throttle == c.Percent
 	case StartRun, MaintainMachine, MoveMachine:
 	}
-	if r == nil || r.phase != starting || r.runner.unreachable {
+	if r == nil || r.phase != starting || r.runner.unreachable || s.withholdStart(r, now) {
 		return runner.Start{}, false
 	}
 	st := runner.Start{
@@ -249,16 +249,8 @@
 		s.stop(r, "start outcome unknown, then rejected")
 		return
 	}
-	rs.remove(r)
-	r.task.endedAt = now
+	s.release(r, "start of a gang member rejected", now)
 	if reply.Verdict == runner.NoPermit {
 		delete(r.task.step.permits.byRunner, rs.ID)
 	}
-	if r.task.step.spec.Gang {
-		for _, t := range r.task.step.tasks {
-			for _, x := range t.runs {
-				s.stop(x, "start of a gang member rejected")
-			}
-		}
-	}
 }
