--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -37,6 +37,7 @@
 	// startUnknown is set if a start had no reply, so that it may still be
 	// carried out even if a repeated one is rejected.
 	startUnknown bool
+	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
 	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
 	sending      bool           // a start or stop of the run is queued or in flight
 }
