sched: use no capacity or labels of a previous incarnation

A runner that starts again under its id may be of another kind. A report shows the new start before the store's entry does, and has no capacity or labels, so that the leader placed tasks by those of the incarnation that had ended: over the capacity (LIMIT) or without the label (ROUTE). A report of a new incarnation now clears both until its entry arrives. Failed before: TestCapacityOfPreviousIncarnation, 4 starts before the entry of the new incarnation was known, want 0, one of them for a label that it does not have, with and without admission-check. It passes now, and so do the tests of sched, lead and platform.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -177,6 +177,8 @@
 	if rep.Incarnation > rs.Incarnation {
 		i := rs.Info
 		i.Incarnation = rep.Incarnation
+		// The new incarnation may be of another kind, which its entry will tell.
+		i.Capacity, i.Labels = job.Resources{}, nil
 		registered := rs.registered
 		s.SetRunner(i, now)
 		rs.registered = registered
