sched: stop a withheld run at the first later report without it

A run whose repeated start is withheld was stopped only 2.2 s after that, since the time of a reply bounds only loosely when its poll was sent. HandleReport knows when the poll was sent. The run is now stopped by the first report of a poll sent after the start was withheld that does not list it, unless the capacity has grown. TestWithheldStartFound and TestWithheldStartAfterGrowth let no report pass for a second; a report of a poll sent later now stops the run by intent, so they use one of a poll sent earlier, and the second also wants the stop by a later one. It failed on the previous code (no stop). Both fail if any report counts, the second also if the run is stopped though it fits again. All tests of sched, lead and platform pass.

--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -1,24 +1,16 @@
 package sched
 
-import (
-	"time"
-
-	"gypsumtrestle.example/gypsumtrestle/internal/clock"
-)
+import "gypsumtrestle.example/gypsumtrestle/internal/clock"
 
 // A runner's capacity may shrink between the placement of a run and the sending
 // of its start. What runs there, what is being stopped and all starts that may
 // be received then exceed the capacity, and one more start may do so as well.
 
-// withheldTimeout is longer than a poll takes, so that a later report shows
-// whether a start without a reply was carried out before it was withheld.
-const withheldTimeout = idlePollWait + 700*time.Millisecond
-
 // withholdStart reports whether the start of a run must not be sent because its
 // runner is over its capacity. If no start of the run can have been received,
-// the task is released, so that it is placed again. Otherwise the run is stopped
-// unless a report lists it or the capacity grows; a gang is stopped at once,
-// since its other members may be waiting. A runner that enforces its capacity is
+// the task is released, so that it is placed again. Otherwise the run remains
+// until a report shows whether it has begun; a gang is stopped at once, since
+// its other members may be waiting. A runner that enforces its capacity is
 // sent the repeated start, which it rejects only if the run has not begun.
 func (s *State) withholdStart(r *run, now clock.BootTime) bool {
 	rs := r.runner
@@ -34,18 +26,21 @@
 		s.Logger.Log("msg", "run start withheld, capacity has shrunk", "task", r.task.name, "attempt", r.attempt, "runner", rs.ID, "unsure", r.startUnknown,
 			"capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 	}
-	const why = "start withheld, outcome unknown"
-	switch {
-	case !r.startUnknown:
+	if !r.startUnknown {
 		s.release(r, "start of a gang member withheld", now)
-	case r.task.step.spec.Gang:
-		s.stopGang(r.task.step, why)
-	case rs.lastReply.Sub(r.withheldAt) > withheldTimeout:
-		s.stop(r, why)
+	} else if r.task.step.spec.Gang {
+		s.stopGang(r.task.step, "start of a gang member withheld, outcome unknown")
 	}
 	return true
 }
 
+// withheldLost reports whether the start of a run that a report does not list
+// has been withheld since before the poll was sent. Only a start that is carried
+// out late could still begin the run.
+func (r *run) withheldLost(sent clock.BootTime) bool {
+	return r.phase == starting && r.withheldAt != 0 && sent.After(r.withheldAt) && !r.runner.used.Fits(r.runner.Capacity)
+}
+
 // release removes a run that has certainly not begun. If its task is a member of
 // a gang, the runs of the other members are stopped for the given reason.
 func (s *State) release(r *run, why string, now clock.BootTime) {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -291,6 +291,8 @@
 			s.runLost(r, "stopped before it began", now)
 		case r.phase != starting && r.confirmedAt != 0 && sent.After(r.confirmedAt) && r.phase != stopping:
 			s.runLost(r, "runner does not list it", now)
+		case r.withheldLost(sent):
+			s.stop(r, "start withheld, outcome unknown")
 		}
 	}
 }
--- a/internal/sched/withheld_test.go
+++ b/internal/sched/withheld_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -45,6 +46,13 @@
 	return all
 }
 
+// earlierReport lets a runner reply without runs to a poll that was sent a while
+// ago.
+func (f *fixture) earlierReport(id runner.ID) {
+	f.now += second
+	f.s.HandleReport(id, f.now.Add(-2*time.Second), f.now, &runner.Report{Incarnation: 1, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond))})
+}
+
 // TestRepeatedStartOnShrunkRunner guards against a start without a reply that is
 // repeated seconds later, when the runner has shrunk below it, to a runner that
 // starts whatever it is told.
@@ -87,7 +95,7 @@
 		t.Errorf("%v repeated to a runner that has shrunk below it", got)
 	}
 	f.runner("b")
-	f.pollFor(time.Second, "a")
+	f.earlierReport("a")
 	if got := f.pollFor(4*time.Second, "a", runner.Run{Task: c.Task, Attempt: 1, Percent: 100}); len(got) != 0 {
 		t.Errorf("commands %v for a run that began", got)
 	}
@@ -99,16 +107,27 @@
 	f := newCapacityFixture(t, 1, false)
 	c := f.startWithoutReply(job1)
 	f.prepared([]Command{c})
-	f.pollFor(time.Second, "a")
+	f.earlierReport("a")
 	f.resize("a", 4000, 8000)
+	f.now += second
+	f.report("a")
 	if got := f.prepared(f.plan()); len(got) != 1 || got[0] != c {
 		t.Fatalf("commands %v, want the start again", got)
 	}
 	f.loseReply(c)
 	f.now += 5 * second
 	f.resize("a", 500, 8000)
-	if got := f.pollFor(time.Second, "a"); len(got) != 0 {
-		t.Errorf("commands %v after the capacity has shrunk again, before a poll can show the run", got)
+	if got := f.prepared([]Command{c}); len(got) != 0 {
+		t.Errorf("%v repeated after the capacity has shrunk again", got)
+	}
+	f.earlierReport("a")
+	if got := f.prepared(f.plan()); len(got) != 0 {
+		t.Errorf("commands %v, though no poll sent later has shown that the run has not begun", got)
+	}
+	f.now += second
+	f.report("a")
+	if got := ofKind(f.plan(), StopRun); len(got) != 1 {
+		t.Errorf("stops %v, want one of the run that a later poll does not list", got)
 	}
 }
 
