sched: check the capacity of runners that shrink in the model

The tests of withheld starts cover single cases. Whether capacity and single runs hold together needs lost and late commands, cuts and changes of leader. The model now fails if a start that is not late brings a runner over the capacity that its leader knows, and TestCapacityKept changes capacities beside all else that happens. The draws of TestOneRunAtATime are as before.

--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -18,18 +18,22 @@
 // The model runs leaders of successive terms against runners that keep the
 // platform's contract, over links that lose and delay commands. It checks the
 // events on the runners: a task never has two runs at once, no run starts after
-// a result as done was acknowledged, and no step starts before the steps that
-// it depends on.
+// a result as done was acknowledged, no step starts before the steps that it
+// depends on, and no start that is not late brings a runner over the capacity
+// that its leader knows.
 
 const (
 	modelMaxLease    = 6 * time.Second
 	modelStopTimeout = 5 * time.Second // a leader without the store stops after this
+	maxModelTasks    = 2               // that a runner has capacity for
+	modelTaskCPU     = 1000
 )
 
 // modelRunner is a runner that keeps the contract.
 type modelRunner struct {
 	id           runner.ID
 	rate         float64 // speed of its clock
+	tasks        int     // that its capacity is for
 	fence        runner.Term
 	until        clock.RunnerTime
 	running      map[job.Task]int
@@ -70,6 +74,12 @@
 	r.until = max(r.until, min(until, r.clock(now).Add(modelMaxLease)))
 }
 
+func (r *modelRunner) info() runner.Info {
+	i := info(r.id, "p")
+	i.Capacity = job.Resources{CPU: r.tasks * modelTaskCPU, Mem: 8000}
+	return i
+}
+
 func sortedTasks(m map[job.Task]int) []job.Task {
 	ts := make([]job.Task, 0, len(m))
 	for t := range m {
@@ -123,7 +133,7 @@
 	}
 	for i := range 3 {
 		m.runners = append(m.runners, &modelRunner{
-			id: runner.ID(fmt.Sprintf("r%d", i)), rate: []float64{1, 0.98, 0.99}[i], running: make(map[job.Task]int),
+			id: runner.ID(fmt.Sprintf("r%d", i)), tasks: maxModelTasks, rate: []float64{1, 0.98, 0.99}[i], running: make(map[job.Task]int),
 			highestEnded: make(map[job.Task]int), endedAt: make(map[int]clock.BootTime),
 		})
 	}
@@ -147,9 +157,7 @@
 		l.s.AddJob(j, m.created[j.ID], m.progress[j.ID], m.progRev[j.ID], m.now, time.Unix(0, 0))
 	}
 	for _, r := range m.runners {
-		i := info(r.id, "p")
-		i.Capacity = job.Resources{CPU: 2000, Mem: 8000}
-		l.s.SetRunner(i, m.now)
+		l.s.SetRunner(r.info(), m.now)
 		l.reach[r.id] = true
 	}
 	m.leaders = append(m.leaders, l)
@@ -176,7 +184,7 @@
 	}
 	m.rev++
 	id := job.ID(fmt.Sprintf("%016x", len(m.jobs)+1))
-	d := job.Resources{CPU: 1000, Mem: 10}
+	d := job.Resources{CPU: modelTaskCPU, Mem: 10}
 	j := &job.Job{ID: id, Queue: "q", Service: "p", Accepted: time.Unix(0, 0), Steps: []job.Step{
 		{Count: 2, Resources: d, Estimate: time.Second}, {Count: 1, Resources: d, Estimate: time.Second, DependsOn: []int{0}},
 	}}
@@ -366,7 +374,7 @@
 		l.s.HandleReply(&c, runner.Reply{Verdict: runner.Unhealthy, Clock: m.clockOf(d.to)}, true, true, m.now)
 		return
 	case "answered":
-		reply := m.execute(d)
+		reply := m.executeInTime(l, d)
 		if reply.Verdict == runner.Fenced {
 			l.stopped = true
 			return
@@ -374,7 +382,7 @@
 		l.s.HandleReply(&c, reply, true, true, m.now)
 		return
 	case "lost":
-		m.execute(d)
+		m.executeInTime(l, d)
 	case "late":
 		m.inTransit = append(m.inTransit, d)
 	}
@@ -434,6 +442,20 @@
 	return reply
 }
 
+// executeInTime executes a command as its leader sends it, and fails if a start
+// brings the runner over the capacity that the leader knows.
+func (m *model) executeInTime(l *modelLeader, d delayed) runner.Reply {
+	i := slices.IndexFunc(m.runners, func(r *modelRunner) bool { return r.id == d.to })
+	r := m.runners[i]
+	before := len(r.running)
+	reply := m.execute(d)
+	known := l.s.runners[d.to].Capacity.CPU / modelTaskCPU
+	if len(r.running) > max(before, known) {
+		m.t.Fatalf("task %s started on %s, which then has %d runs and capacity for %d", d.command.Task, d.to, len(r.running), known)
+	}
+	return reply
+}
+
 // check fails if a start violates the guarantees.
 func (m *model) check(on *modelRunner, task job.Task) {
 	if m.done[task] {
@@ -480,6 +502,18 @@
 	l.reach[r.id] = !l.reach[r.id]
 }
 
+// resize changes the capacity of a runner, of which only leaders that reach the
+// store know.
+func (m *model) resize(t *rapid.T) {
+	r := m.runner()
+	r.tasks = rapid.IntRange(0, maxModelTasks).Draw(t, "tasks")
+	for _, l := range m.leaders {
+		if l.store && !l.stopped {
+			l.s.SetRunner(r.info(), m.now)
+		}
+	}
+}
+
 func (m *model) toggleStoreLink(*rapid.T) {
 	l := m.leader()
 	l.store = !l.store
@@ -490,30 +524,32 @@
 // their progress is stored; "sure", treating a start without a reply as one that
 // may be carried out.
 func checkModel(weaken string) func(*rapid.T) {
-	return func(t *rapid.T) {
-		m := newModel(t, weaken)
-		t.Repeat(map[string]func(*rapid.T){
-			"": func(t *rapid.T) {
-				for _, l := range m.leaders {
-					if err := checkIndexes(l.s); err != nil {
-						t.Fatal(err)
-					}
-				}
-			},
-			"submit": m.submit, "pass": m.advance, "plan": m.plan, "plan2": m.plan, "flush": m.flush, "flush2": m.flush, "roster": m.storeRoster,
-			"look": m.poll, "look2": m.poll, "look3": m.poll, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver,
-			"round": m.round, "round2": m.round, "late": m.deliverDelayed, "finish": m.finish, "finish2": m.finish, "cut runner": m.toggleRunnerLink, "cut store": m.toggleStoreLink,
-			"elect": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
-					m.elect()
-				}
-			},
-			"resign": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
-					m.stepDown(t)
+	return func(t *rapid.T) { t.Repeat(newModel(t, weaken).actions()) }
+}
+
+// actions returns what may happen in the model, apart from changes of capacity.
+func (m *model) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			for _, l := range m.leaders {
+				if err := checkIndexes(l.s); err != nil {
+					t.Fatal(err)
 				}
-			},
-		})
+			}
+		},
+		"submit": m.submit, "pass": m.advance, "plan": m.plan, "plan2": m.plan, "flush": m.flush, "flush2": m.flush, "roster": m.storeRoster,
+		"look": m.poll, "look2": m.poll, "look3": m.poll, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver,
+		"round": m.round, "round2": m.round, "late": m.deliverDelayed, "finish": m.finish, "finish2": m.finish, "cut runner": m.toggleRunnerLink, "cut store": m.toggleStoreLink,
+		"elect": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
+				m.elect()
+			}
+		},
+		"resign": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
+				m.stepDown(t)
+			}
+		},
 	}
 }
 
@@ -523,3 +559,15 @@
 func TestOneRunAtATime(t *testing.T) {
 	rapid.Check(t, checkModel(""))
 }
+
+// TestCapacityKept guards against starts over the capacity of a runner that
+// shrinks and grows, and against two runs of a task whose start was withheld,
+// with lost and late commands, interrupted links and changes of leader.
+func TestCapacityKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, "")
+		actions := m.actions()
+		actions["resize"], actions["resize2"] = m.resize, m.resize
+		t.Repeat(actions)
+	})
+}
