sched: start nothing by capacities that may be outdated

A leader that has lost the store sends starts for RenewDeadline, 5 s. A capacity that has shrunk counts 3 s after its entry shows it, so that a runner without admission-check could be brought over a capacity that the leader never read (LIMIT). From 2.5 s after the input was last current, no task is placed in a pool without admission-check, and starts to it are withheld until the store is back or another daemon leads. Pools with admission-check are as before. Failed before: TestCutOffLeaderStartsNothing without admission-check (1 start sent and 1 planned, want none); it passes now, and fails if only placement or only sending is held back.

--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -1,30 +1,52 @@
 package sched
 
-import "gypsumtrestle.example/gypsumtrestle/internal/clock"
+import (
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+)
 
 // A runner's capacity may shrink between the placement of a run and the sending
 // of its start. What runs there, what is being stopped and all starts that may
 // be received then exceed the capacity, and one more start may do so as well.
 
+// maxCapacityAge is the age of the input from which no task is started on a
+// runner that does not enforce its capacity. A capacity that has shrunk counts
+// 3 s after the runner's entry shows it, and a start takes up to half a second.
+const maxCapacityAge = 2500 * time.Millisecond
+
+func (s *State) enforcesCapacity(pool string) bool {
+	svc := s.cfg.Services[pool]
+	return svc != nil && svc.EnforcesCapacity
+}
+
+// capacityOutdated reports whether runners of a pool may have shrunk unnoticed
+// and would not reject what does not fit: the leader has not reached the store
+// for some time.
+func (s *State) capacityOutdated(pool string, now clock.BootTime) bool {
+	return now.Sub(s.inputCurrentAt) > maxCapacityAge && !s.enforcesCapacity(pool)
+}
+
 // withholdStart reports whether the start of a run must not be sent because its
-// runner is over its capacity. If no start of the run can have been received,
-// the task is released, so that it is placed again. Otherwise the run remains
-// until a report shows whether it has begun; a gang is stopped at once, since
-// its other members may be waiting. A runner that enforces its capacity is
+// runner is over its capacity, or may be. If no start of the run can have been
+// received, the task is released, so that it is placed again. Otherwise the run
+// remains until a report shows whether it has begun; a gang is stopped at once,
+// since its other members may be waiting. A runner that enforces its capacity is
 // sent the repeated start, which it rejects only if the run has not begun.
 func (s *State) withholdStart(r *run, now clock.BootTime) bool {
 	rs := r.runner
-	if rs.used.Fits(rs.Capacity) {
+	outdated := s.capacityOutdated(rs.Service, now)
+	if rs.used.Fits(rs.Capacity) && !outdated {
 		r.withheldAt = 0
 		return false
 	}
-	if svc := s.cfg.Services[rs.Service]; r.startUnknown && svc != nil && svc.EnforcesCapacity {
+	if r.startUnknown && s.enforcesCapacity(rs.Service) {
 		return false
 	}
 	if r.withheldAt == 0 {
 		r.withheldAt = now
-		s.Logger.Log("msg", "run start withheld, capacity has shrunk", "task", r.task.name, "attempt", r.attempt, "runner", rs.ID, "unsure", r.startUnknown,
-			"capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
+		s.Logger.Log("msg", "run start withheld", "task", r.task.name, "attempt", r.attempt, "runner", rs.ID, "unsure", r.startUnknown,
+			"outdated", outdated, "input", now.Sub(s.inputCurrentAt), "capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 	}
 	if !r.startUnknown {
 		s.release(r, "start of a gang member withheld", now)
--- a/internal/sched/capacity_test.go
+++ b/internal/sched/capacity_test.go
@@ -24,11 +24,13 @@
 	return f
 }
 
-// resize changes the capacity in the entry of a runner.
+// resize changes the capacity in the entry of a runner, which the leader reads
+// from the store.
 func (f *fixture) resize(id runner.ID, cpu, mem int) {
 	i := info(id, "pool")
 	i.Capacity = job.Resources{CPU: cpu, Mem: mem}
 	f.s.SetRunner(i, f.now)
+	f.s.InputCurrent(f.now)
 }
 
 // prepared returns the commands that are still needed when they are sent.
@@ -187,8 +189,8 @@
 		runs := f.runAll("a")
 		f.job(2, job.Step{Count: 2})
 		starts := ofKind(f.plan(), StartRun)
-		f.resize("a", 3000, 8000)
 		f.now += 10 * second
+		f.resize("a", 3000, 8000)
 		f.report("a", runs...)
 		sent := f.prepared(starts)
 		wantStarts(t, sent, 1, "at 3 of 4 cores")
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		runners := s.usableRunners(svc, now)
-		if len(runners) == 0 {
+		if len(runners) == 0 || s.capacityOutdated(svc, now) {
 			continue
 		}
 		s.place(runners, jobs, now)
--- a/internal/sched/withheld_test.go
+++ b/internal/sched/withheld_test.go
@@ -153,3 +153,34 @@
 		t.Errorf("stops %v, want both members", got)
 	}
 }
+
+// TestCutOffLeaderStartsNothing guards against starts by entries that a leader
+// without the store no longer follows: a runner that starts whatever it is told
+// may have shrunk since.
+func TestCutOffLeaderStartsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		enforced bool
+		want     int
+	}{"enforced": {true, 1}, "unenforced": {false, 0}} {
+		t.Run(name, func(t *testing.T) {
+			f := newCapacityFixture(t, 1, c.enforced)
+			f.runner("a")
+			f.job(1, job1)
+			unsent := f.plan()
+			f.job(2, job1)
+			f.now = f.now.Add(4 * time.Second)
+			f.report("a")
+			if got := f.prepared(unsent); len(got) != c.want {
+				t.Errorf("%v sent 4 s after the input was last current, want %d starts", got, c.want)
+			}
+			f.s.Plan(f.now, time.Unix(0, 0))
+			planned := f.s.Commands()
+			wantStarts(t, planned, c.want, "planned 4 s after the input was last current")
+			f.accept(f.prepared(planned))
+			f.plan()
+			if n := len(f.s.runners["a"].runs); n != 2 {
+				t.Errorf("%d runs after the store is back, want 2", n)
+			}
+		})
+	}
+}
