--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -40,7 +41,7 @@
 			rs.announced = nil
 		}
 	case rs.replied || rs.ended:
-		i := rs.Info
+		i := unknownKind(rs.Info)
 		if rs.announced != nil && rs.announced.Incarnation == in {
 			i = *rs.announced
 		}
@@ -55,9 +56,11 @@
 		s.renew(rs, i)
 		s.stopUnsettled(rs, unsettled, now)
 	default:
+		i := unknownKind(rs.Info)
 		if rs.announced != nil {
-			s.setInfo(rs, *rs.announced)
+			i = *rs.announced
 		}
+		s.setInfo(rs, i)
 		rs.Incarnation, rs.announced = in, nil
 	}
 	rs.confirmedAddr = from.Addr
@@ -67,6 +70,13 @@
 	s.indexMachine(rs)
 }
 
+// unknownKind returns what the entry of another incarnation says of a runner: a
+// new one may be of another kind, which its own entry will tell.
+func unknownKind(i runner.Info) runner.Info {
+	i.Capacity, i.Labels = job.Resources{}, nil
+	return i
+}
+
 // takeUnsettled removes and returns the runs on a restarted runner whose start the
 // next incarnation may carry out, or has just carried out: it has the same ID,
 // but neither the lease nor the attempts of the previous one. The poll that
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -139,6 +139,9 @@
 func TestFormerLeaderUsesNextIncarnation(t *testing.T) {
 	f := newFixture(t, 1)
 	f.runner("a")
+	i := info("a", "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
 	f.reportOf("a", 2, f.now)
 	f.job(1, job1)
 	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
--- a/internal/sched/model_restart_test.go
+++ b/internal/sched/model_restart_test.go
@@ -183,7 +183,7 @@
 // stored roster names it.
 func checkRestarts(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
-		m := newModel(t, weaken)
+		m := newModel(t, weaken, true)
 		m.lateReplies = true
 		m.repeat(map[string]func(*rapid.T){
 			"submit": m.submit, "pass": m.advance, "plan": m.plan, "flush": m.flush, "look": m.poll, "look2": m.poll,
--- a/internal/sched/model_runner_test.go
+++ b/internal/sched/model_runner_test.go
@@ -13,6 +13,8 @@
 const (
 	modelMaxLease    = 6 * time.Second
 	modelStopTimeout = 5 * time.Second // a leader without the store stops after this
+	maxModelTasks    = 2               // that a runner has capacity for
+	modelTaskCPU     = 1000
 )
 
 // modelRunner is a runner that keeps the contract.
@@ -23,6 +25,7 @@
 	startedAt    clock.BootTime
 	down         bool
 	rate         float64 // speed of its clock
+	tasks        int     // that its capacity is for
 	fence        runner.Term
 	until        clock.RunnerTime
 	running      map[job.Task]int
@@ -83,7 +86,7 @@
 // entry returns the runner's entry in the store.
 func (r *modelRunner) entry() runner.Info {
 	i := info(r.id, "p")
-	i.Incarnation, i.Addr, i.Capacity = r.incarnation, r.addr, job.Resources{CPU: 2000, Mem: 8000}
+	i.Incarnation, i.Addr, i.Capacity = r.incarnation, r.addr, job.Resources{CPU: r.tasks * modelTaskCPU, Mem: 8000}
 	return i
 }
 
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -21,8 +21,9 @@
 // beside another writer of the runners' entries. Runners crash and start again
 // under their own ID or another one. It checks the
 // events on the runners: a task never has two runs at once, no run starts after
-// a result as done was acknowledged, and no step starts before the steps that
-// it depends on.
+// a result as done was acknowledged, no step starts before the steps that it
+// depends on, and no start that is not late brings a runner over the capacity
+// that its leader knows.
 
 // modelLeader is the leader of one term.
 type modelLeader struct {
@@ -66,18 +67,19 @@
 	freeAddr  netip.AddrPort // an address that no runner has
 	// lateReplies lets replies to polls arrive late.
 	lateReplies bool
+	enforced    bool // the pool is configured to reject what does not fit
 }
 
-func newModel(t *rapid.T, weaken string) *model {
+func newModel(t *rapid.T, weaken string, enforced bool) *model {
 	m := &model{
 		freeAddr: netip.MustParseAddrPort("127.0.0.1:9"),
 		t:        t, now: 1000 * second, rev: 10, created: make(map[job.ID]kv.Revision),
 		progress: make(map[job.ID]*job.Progress), progRev: make(map[job.ID]kv.Revision),
-		started: make(map[job.Task][]clock.BootTime), done: make(map[job.Task]bool), ended: make(map[job.Task]bool), entries: make(map[*modelRunner]runner.Info), weaken: weaken,
+		started: make(map[job.Task][]clock.BootTime), done: make(map[job.Task]bool), ended: make(map[job.Task]bool), entries: make(map[*modelRunner]runner.Info), weaken: weaken, enforced: enforced,
 	}
 	for i := range 3 {
 		r := &modelRunner{
-			id: runner.ID(fmt.Sprintf("r%d", i)), rate: []float64{1, 0.98, 0.99}[i],
+			id: runner.ID(fmt.Sprintf("r%d", i)), tasks: maxModelTasks, rate: []float64{1, 0.98, 0.99}[i],
 			addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1+i)),
 		}
 		r.restart(m.now - 500*second)
@@ -100,7 +102,7 @@
 	}
 	l.s = New(l.term, m.now, limits, log.NewNopLogger())
 	l.s.Configure(job.NewConfig(1, []*job.Queue{{Name: "q", Service: "p", MaxAttempts: 100, Stretch: 1, Target: time.Second}},
-		[]*job.Service{{Name: "p"}}, job.Limits{}))
+		[]*job.Service{{Name: "p", EnforcesCapacity: m.enforced}}, job.Limits{}))
 	l.s.InheritRoster(m.roster)
 	for _, j := range m.jobs {
 		l.s.AddJob(j, m.created[j.ID], m.progress[j.ID], m.progRev[j.ID], m.now, time.Unix(0, 0))
@@ -133,7 +135,7 @@
 	}
 	m.rev++
 	id := job.ID(fmt.Sprintf("%016x", len(m.jobs)+1))
-	d := job.Resources{CPU: 1000, Mem: 10}
+	d := job.Resources{CPU: modelTaskCPU, Mem: 10}
 	j := &job.Job{ID: id, Queue: "q", Service: "p", Accepted: time.Unix(0, 0), Steps: []job.Step{
 		{Count: 2, Resources: d, Estimate: time.Second}, {Count: 1, Resources: d, Estimate: time.Second, DependsOn: []int{0}},
 	}}
@@ -168,6 +170,7 @@
 	for _, l := range m.leaders {
 		if l.store && l == m.newest() {
 			l.lastStoreReply = m.now
+			l.s.InputCurrent(m.now)
 		}
 	}
 }
@@ -308,7 +311,7 @@
 		l.s.HandleReply(&c, runner.Reply{Verdict: runner.Unhealthy, Clock: r.clock(m.now)}, true, true, m.now)
 		return
 	case "answered":
-		reply := m.execute(d)
+		reply := m.executeInTime(l, d)
 		if reply.Verdict == runner.Fenced {
 			l.stopped = true
 			return
@@ -316,7 +319,7 @@
 		l.s.HandleReply(&c, reply, true, true, m.now)
 		return
 	case "lost":
-		m.execute(d)
+		m.executeInTime(l, d)
 	case "late":
 		m.inTransit = append(m.inTransit, d)
 	}
@@ -379,6 +382,19 @@
 	return reply
 }
 
+// executeInTime executes a command as its leader sends it, and fails if a start
+// brings the runner over the capacity that the leader knows.
+func (m *model) executeInTime(l *modelLeader, d delayed) runner.Reply {
+	r := d.to
+	before := len(r.running)
+	reply := m.execute(d)
+	known := l.s.runners[r.id].Capacity.CPU / modelTaskCPU
+	if r.incarnation == l.s.runners[r.id].Incarnation && len(r.running) > max(before, known) {
+		m.t.Fatalf("task %s started on %s, which then has %d runs and capacity for %d", d.command.Task, r.id, len(r.running), known)
+	}
+	return reply
+}
+
 // check fails if a start violates the guarantees.
 func (m *model) check(on *modelRunner, task job.Task) {
 	if m.done[task] {
@@ -418,6 +434,19 @@
 	l.reach[r] = !l.reach[r]
 }
 
+// resize changes the capacity of a runner, of which only leaders that reach the
+// store know.
+func (m *model) resize(t *rapid.T) {
+	r := m.runner()
+	r.tasks = rapid.IntRange(0, maxModelTasks).Draw(t, "tasks")
+	m.entries[r] = r.entry()
+	for _, l := range m.leaders {
+		if l.store && !l.stopped {
+			l.s.SetRunner(m.entries[r], m.now)
+		}
+	}
+}
+
 func (m *model) toggleStoreLink(*rapid.T) {
 	l := m.leader()
 	l.store = !l.store
@@ -429,18 +458,24 @@
 // may be carried out.
 func checkModel(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
-		m := newModel(t, weaken)
-		m.repeat(map[string]func(*rapid.T){
-			"submit": m.submit, "pass": m.advance, "plan": m.plan, "plan2": m.plan, "flush": m.flush, "flush2": m.flush, "roster": m.storeRoster,
-			"look": m.poll, "look2": m.poll, "look3": m.poll, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver,
-			"round": m.round, "round2": m.round, "late": m.deliverDelayed, "finish": m.finish, "finish2": m.finish, "cut runner": m.toggleRunnerLink, "cut store": m.toggleStoreLink,
-			"elect": m.maybeElect,
-			"resign": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
-					m.stepDown(t)
-				}
-			},
-		})
+		m := newModel(t, weaken, true)
+		m.repeat(m.actions())
+	}
+}
+
+// actions returns what may happen in the model, apart from restarts and changes
+// of capacity.
+func (m *model) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"submit": m.submit, "pass": m.advance, "plan": m.plan, "plan2": m.plan, "flush": m.flush, "flush2": m.flush, "roster": m.storeRoster,
+		"look": m.poll, "look2": m.poll, "look3": m.poll, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver,
+		"round": m.round, "round2": m.round, "late": m.deliverDelayed, "finish": m.finish, "finish2": m.finish, "cut runner": m.toggleRunnerLink, "cut store": m.toggleStoreLink,
+		"elect": m.maybeElect,
+		"resign": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
+				m.stepDown(t)
+			}
+		},
 	}
 }
 
@@ -468,3 +503,15 @@
 func TestOneRunAtATime(t *testing.T) {
 	rapid.Check(t, checkModel(""))
 }
+
+// TestCapacityKept guards against starts over the capacity of a runner that
+// shrinks and grows, and against two runs of a task whose start was withheld,
+// with lost and late commands, interrupted links and changes of leader.
+func TestCapacityKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, "", false)
+		actions := m.actions()
+		actions["resize"], actions["resize2"] = m.resize, m.resize
+		m.repeat(actions)
+	})
+}
