sched: keep the attempts of an ended job for later terms

The record of an ended job keeps the attempts of tasks that had more than one.

TestResultOfEndedJobAcknowledged failed before: 'the result of attempt 1 is acknowledged, although attempt 2 was started after it'.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -231,12 +231,12 @@
 // progress returns the durable record.
 func (js *jobState) progress() *job.Progress {
 	p := &job.Progress{Outcome: js.outcome, Started: js.started}
-	if js.outcome != job.Open {
-		return p
-	}
 	for _, o := range js.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
+				if js.outcome != job.Open && t.attempt <= 1 {
+					continue // no result of an earlier run must be withheld
+				}
 				if !t.done && len(t.failed) == 0 && t.attempt == 0 && t.crashes == (crash.Record{}) {
 					continue
 				}
