relay: a relay makes no call to a runner after its expiry

Cause: a call that was held between leader and relay, or in the buffer of a relay that was paused, was executed however long the leader had given up on it (600 ms for commands). A late start could reach a new incarnation of the runner, which has forgotten term, lease and attempts: two runs of a task, or a run after its end.

Change: a call carries its expiry, a time of the leader's boot clock. The leader returns with its calls, and in reply to the hello, the time at which the relay sent its last message and the time of its receipt; so the relay knows the latest time that the leader's clock can have, with an allowance for clocks that are slewed. It compares the two immediately before each command to a runner (each start of several), ends the context of a call at its expiry, returns expired calls as not sent and logs one line a message. After a first exchange of more than 600 ms it connects again. A relay without results renews the leader's reading each 30 s; that does not count as progress of a stuck relay. Path is /relay/3, and the recorded messages change with it: hello has key 4, a call key 17, calls and results are in an array with the reading or the time of sending. Late results, also of polls, are dropped as before (by reading; on the code before not run).

On the code before, with the tests that need no new message:

--- FAIL: TestHeldCallExecutedLate (3.11s) throttle, poll, start, stop: 1 calls were made to the runner after the leader had given up; starts: 3 calls --- FAIL: TestCallContinuesAfterExpiry (60.61s) end of the call: not within 1m0s

With the change all tests of the package pass, also twice with the race detector. Each of 13 variants with a safeguard left out or weakened fails at least one test.

--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -18,7 +18,21 @@
 // # Failures
 //
 // A command through a relay that gets no reply is treated like any other
-// command without a reply: it may have been executed, or may be executed later.
-// Terms, attempts and leases protect against both. A relay whose calls time out
-// repeatedly is disconnected. Without a relay the leader calls runners itself.
+// command without a reply: it may have been executed, or the runner may execute
+// it later. Terms, attempts and leases protect against both, but not at a new
+// incarnation of the runner, which knows none of them. Each call therefore has
+// an expiry, at which the leader gives up on it. However long the call was held
+// on the link or the relay was paused, the relay does not begin it after that and
+// cancels it if it has begun. An expired call is returned as not sent. A result
+// that arrives after the leader has given up on its call is dropped.
+//
+// The expiry is a time of the boot clock of the leader's host, whose origin is
+// unrelated to that of the relay's. In reply to the hello and with its calls, the
+// leader returns the time at which the relay sent its last message, by the
+// relay's clock, and the time of its receipt, by its own. From these the relay
+// knows the latest time that the leader's clock can have, and compares it with
+// the expiry immediately before each call to a runner.
+//
+// A relay whose calls time out repeatedly is disconnected. Without a relay the
+// leader calls runners itself.
 package relay
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -17,7 +17,7 @@
 // Path is the URL path at which the leader accepts connections of relays. It
 // contains the version of the messages: a daemon of another version gets no
 // connection and is not used as a relay.
-const Path = "/relay/2"
+const Path = "/relay/3"
 
 const (
 	// maxMessage bounds a message in bytes. A message may contain maxBatch calls
@@ -46,11 +46,28 @@
 	startRuns
 )
 
-// hello is the first message of a relay.
+// hello is the first message of a relay. The leader replies with a callBatch
+// without calls.
 type hello struct {
-	Name             string  `cbor:"1,keyasint"`
-	Zone             string  `cbor:"2,keyasint"`
-	RelativeCapacity float64 `cbor:"3,keyasint"` // in (0, 1]; 1 is a reference host
+	Name             string    `cbor:"1,keyasint"`
+	Zone             string    `cbor:"2,keyasint"`
+	RelativeCapacity float64   `cbor:"3,keyasint"` // in (0, 1]; 1 is a reference host
+	SentAt           relayTime `cbor:"4,keyasint"`
+}
+
+// callBatch is a message of the leader.
+type callBatch struct {
+	_       struct{} `cbor:",toarray"`
+	Reading reading
+	Calls   []call
+}
+
+// resultBatch is a message of a relay. It has no results if it only renews the
+// leader's reading.
+type resultBatch struct {
+	_       struct{} `cbor:",toarray"`
+	SentAt  relayTime
+	Results []result
 }
 
 // call is one call to a runner.
@@ -71,6 +88,7 @@
 	Percent    int              `cbor:"14,keyasint,omitempty"`
 	Starts     []start          `cbor:"15,keyasint,omitempty"` // of startRuns
 	Specs      []string         `cbor:"16,keyasint,omitempty"` // of startRuns
+	Expiry     leaderTime       `cbor:"17,keyasint"`           // the call is not executed at or after it
 }
 
 // start is one of several starts on a runner.
@@ -160,7 +178,10 @@
 
 // writeBatches sends the values of the channel until the context ends or a write
 // fails. The first value of a message waits for others until delay has passed.
-func writeBatches[T any](ctx context.Context, c *websocket.Conn, values <-chan T, delay time.Duration) error {
+// At each tick it sends a message without values. The function message returns
+// the message with the values; it is called immediately before the message is
+// sent.
+func writeBatches[T any](ctx context.Context, c *websocket.Conn, values <-chan T, delay time.Duration, tick <-chan time.Time, message func([]T) any) error {
 	t := time.NewTimer(delay)
 	defer t.Stop()
 	for {
@@ -168,6 +189,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-tick:
+			if err := write(ctx, c, message(nil)); err != nil {
+				return err
+			}
+			continue
 		case v := <-values:
 			batch = append(batch, v)
 		}
@@ -181,7 +207,7 @@
 				break collect
 			}
 		}
-		if err := write(ctx, c, batch); err != nil {
+		if err := write(ctx, c, message(batch)); err != nil {
 			return err
 		}
 	}
--- a/internal/relay/odd_test.go
+++ b/internal/relay/odd_test.go
@@ -32,7 +32,11 @@
 
 // FuzzMessages guards against a message of a peer that ends the daemon.
 func FuzzMessages(f *testing.F) {
-	for _, v := range []any{hello{Name: "a"}, []call{{Seq: 1, Kind: startRun}}, []result{{Seq: 1, Report: &runner.Report{Running: []runner.Run{{Attempt: 1}}}}}} {
+	for _, v := range []any{
+		hello{Name: "a"},
+		callBatch{Calls: []call{{Seq: 1, Kind: startRun}}},
+		resultBatch{Results: []result{{Seq: 1, Report: &runner.Report{Running: []runner.Run{{Attempt: 1}}}}}},
+	} {
 		b, err := cbor.Marshal(v)
 		if err != nil {
 			f.Fatal(err)
@@ -41,11 +45,14 @@
 	}
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		var h hello
-		var cs []call
-		var rs []result
+		var cs callBatch
+		var rb resultBatch
 		_ = cbor.Unmarshal(b, &h)
-		_ = cbor.Unmarshal(b, &cs)
-		if cbor.Unmarshal(b, &rs) == nil {
+		if cbor.Unmarshal(b, &cs) == nil && cs.Reading.check(0, 1) == nil {
+			_ = cs.Reading.upperBound(1)
+		}
+		if cbor.Unmarshal(b, &rb) == nil {
+			rs := rb.Results
 			for i := range rs {
 				if rs[i].check() == nil {
 					_ = log.NewNopLogger().Log("verdict", rs[i].Verdict.String(), "err", rs[i].err())
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -59,6 +60,7 @@
 	cancel   context.CancelCauseFunc
 	done     <-chan struct{}
 	timeouts atomic.Int32 // calls without a result since the last result
+	reading  atomic.Pointer[reading]
 
 	mu      sync.Mutex
 	seq     uint64
@@ -85,6 +87,10 @@
 	hctx, hcancel := context.WithTimeout(ctx, helloTimeout)
 	err := read(hctx, c, &m.hello)
 	hcancel()
+	if err == nil {
+		m.received(m.SentAt)
+		err = write(ctx, c, m.message(nil))
+	}
 	if err != nil {
 		p.Logger.Log("msg", "relay hello failed", "err", err)
 		return
@@ -94,17 +100,21 @@
 	m.done = ctx.Done()
 	p.update(m, true)
 	defer p.update(m, false)
-	go func() { m.cancel(writeBatches(ctx, c, m.calls, callDelay)) }()
+	go func() { m.cancel(writeBatches(ctx, c, m.calls, callDelay, nil, m.message)) }()
 	for {
-		var rs []result
-		if err := read(ctx, c, &rs); err != nil {
+		var b resultBatch
+		if err := read(ctx, c, &b); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
 			}
 			p.Logger.Log("msg", "relay disconnected", "relay", m.Name, "zone", m.Zone, "err", err)
 			return
 		}
-		m.timeouts.Store(0)
+		m.received(b.SentAt)
+		rs := b.Results
+		if len(rs) > 0 {
+			m.timeouts.Store(0)
+		}
 		for i := range rs {
 			if err := rs[i].check(); err != nil {
 				p.Logger.Log("msg", "invalid result of a relay", "relay", m.Name, "err", err)
@@ -148,8 +158,21 @@
 	return len(p.relays)
 }
 
-// do executes a call through a relay.
+// received takes a reading with a message that the relay sent at a time of its
+// clock.
+func (m *member) received(sentAt relayTime) {
+	m.reading.Store(&reading{SentAt: sentAt, ReceivedAt: leaderTime(clock.Now())})
+}
+
+// message returns a message with calls.
+func (m *member) message(calls []call) any {
+	return callBatch{Reading: *m.reading.Load(), Calls: calls}
+}
+
+// do executes a call through a relay. The call expires when do gives up on it, or
+// earlier.
 func (m *member) do(ctx context.Context, c call, within time.Duration) result {
+	c.Expiry = leaderTime(clock.Now().Add(within))
 	ch := make(chan result, 1)
 	m.mu.Lock()
 	m.seq++
--- a/internal/relay/recorded_test.go
+++ b/internal/relay/recorded_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/recorded"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -24,8 +25,8 @@
 	near, far := connect(t)
 	f := recorded.Open(t, "recorded.hex")
 	check[hello](t, f, "hello", near, far)
-	check[[]call](t, f, "calls", near, far)
-	check[[]result](t, f, "results", near, far)
+	check[callBatch](t, f, "calls", near, far)
+	check[resultBatch](t, f, "results", near, far)
 }
 
 // TestRecordedKinds guards against a relay that misreads the kind of a call, or
@@ -52,12 +53,22 @@
 		{"look", func() error { _, _, err := p.Poll(ctx, to, 76, recorded.New[runner.PollRequest]()); return err }},
 	} {
 		name := x.name
+		queuedAt := clock.Now()
 		// The relay is disconnected, so that the pool queues the call and then
 		// returns an error.
 		if err := x.send(); !errors.Is(err, runner.ErrNoResponse) {
 			t.Errorf("%s: %v", name, err)
 		}
-		b, err := cbor.Marshal([]call{<-m.calls})
+		c := <-m.calls
+		within := commandTimeout
+		if c.Kind == pollRunner {
+			within = c.Wait + pollGrace
+		}
+		if earliest, latest := queuedAt.Add(within), clock.Now().Add(within); c.Expiry < leaderTime(earliest) || c.Expiry > leaderTime(latest) {
+			t.Errorf("%s: expiry %d, want %d to %d", name, c.Expiry, earliest, latest)
+		}
+		c.Expiry = recordedExpiry
+		b, err := cbor.Marshal([]call{c})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -69,8 +80,11 @@
 		if err := cbor.Unmarshal(b, &got); err != nil || len(got) != 1 {
 			t.Fatalf("%s: %v, %v", name, got, err)
 		}
+		if got[0].Expiry != recordedExpiry {
+			t.Errorf("%s: decoded expiry %d, want %d", name, got[0].Expiry, recordedExpiry)
+		}
 		var to callRecorder
-		res := (&Worker{Runners: &to}).execute(ctx, &got[0])
+		res := (&Worker{Runners: &to}).execute(ctx, &got[0], inTime())
 		if b, err = cbor.Marshal([]result{res}); err != nil {
 			t.Fatal(err)
 		}
@@ -79,6 +93,9 @@
 	}
 }
 
+// recordedExpiry is the expiry of recorded calls.
+const recordedExpiry = 79
+
 // callRecorder is a runner that records the last call.
 type callRecorder string
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,16 +19,18 @@
 
 // fakeRunners replies to calls, or keeps them open until their context ends.
 type fakeRunners struct {
-	hanging atomic.Bool
-	calls   atomic.Int64
-	reply   runner.Reply
-	err     error
+	hanging  atomic.Bool
+	calls    atomic.Int64
+	canceled atomic.Int64 // calls whose context ended
+	reply    runner.Reply
+	err      error
 }
 
 func (f *fakeRunners) handle(ctx context.Context) (runner.Reply, error) {
 	f.calls.Add(1)
 	if f.hanging.Load() {
 		<-ctx.Done()
+		f.canceled.Add(1)
 		return runner.Reply{}, errors.Wrap(runner.ErrNoResponse, "hanging")
 	}
 	return f.reply, f.err
@@ -62,9 +64,23 @@
 	relays  map[string]*fakeRunners
 	stop    context.CancelFunc
 	changed chan struct{}
+	link    *link // between the leader and the relays; nil without one
+	log     logLines
 }
 
 func newFixture(t *testing.T, zones ...string) *fixture {
+	t.Helper()
+	return startFixture(t, false, zones)
+}
+
+// newLinkedFixture returns a fixture whose relays reach the leader through a link
+// that can be held.
+func newLinkedFixture(t *testing.T, zones ...string) *fixture {
+	t.Helper()
+	return startFixture(t, true, zones)
+}
+
+func startFixture(t *testing.T, linked bool, zones []string) *fixture {
 	t.Helper()
 	r := &fixture{direct: &fakeRunners{}, relays: make(map[string]*fakeRunners), changed: make(chan struct{})}
 	r.pool = &Pool{Direct: r.direct, Logger: log.NewNopLogger(), CallDirectly: func() bool { return false }}
@@ -72,12 +88,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	r.stop = cancel
 	at := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	if linked {
+		r.link, at = newLink(t, at)
+	}
 	done := make(chan struct{}, len(zones))
 	for _, z := range zones {
 		f := &fakeRunners{}
 		r.relays[z] = f
 		w := &Worker{
-			Name: "host-" + z, Zone: z, RelativeCapacity: 1, Runners: f, Logger: log.NewNopLogger(),
+			Name: "host-" + z, Zone: z, RelativeCapacity: 1, Runners: f, Logger: &r.log,
 			Leader: func() (netip.AddrPort, <-chan struct{}) { return at, r.changed },
 		}
 		go func() {
@@ -92,10 +111,14 @@
 		for range zones {
 			<-done
 		}
+		if r.link != nil {
+			r.link.close()
+		}
 		s.Close()
 		goleak.VerifyNone(t)
 	})
 	r.waitRelays(t, len(zones))
+	waitFor(t, "relays ready", func() bool { return r.log.count("relay connected to leader") == len(zones) })
 	return r
 }
 
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -69,14 +69,8 @@
 	}
 	defer c.CloseNow() //nolint:errcheck // nothing is lost with the connection
 	c.SetReadLimit(maxMessage)
-	if err := write(ctx, c, hello{Name: w.Name, Zone: w.Zone, RelativeCapacity: w.RelativeCapacity}); err != nil {
-		return err
-	}
-	w.Logger.Log("msg", "relay connected to leader", "leader", leader)
 	cctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	results := make(chan result, maxBatch)
-	go func() { stop(writeBatches(cctx, c, results, resultDelay)) }()
 	go func() {
 		select {
 		case <-cctx.Done():
@@ -84,28 +78,84 @@
 			stop(errLeaderChanged)
 		}
 	}()
+	openedAt := relayTime(clock.Now())
+	first, err := w.hello(cctx, c, openedAt)
+	if err != nil {
+		return cause(cctx, err)
+	}
+	w.Logger.Log("msg", "relay connected to leader", "leader", leader, "exchange", time.Duration(relayTime(clock.Now())-openedAt))
+	results := make(chan result, maxBatch)
+	ticker := time.NewTicker(readingPeriod)
+	defer ticker.Stop()
+	go func() {
+		stop(writeBatches(cctx, c, results, resultDelay, ticker.C, func(rs []result) any {
+			return resultBatch{SentAt: relayTime(clock.Now()), Results: rs}
+		}))
+	}()
+	return cause(cctx, w.executeAll(cctx, c, openedAt, first, results))
+}
+
+// cause returns why a context ended, or err if it has not ended.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil {
+		return c
+	}
+	return err
+}
+
+// hello opens a connection and returns the first reading.
+func (w *Worker) hello(ctx context.Context, c *websocket.Conn, openedAt relayTime) (reading, error) {
+	if err := write(ctx, c, hello{Name: w.Name, Zone: w.Zone, RelativeCapacity: w.RelativeCapacity, SentAt: openedAt}); err != nil {
+		return reading{}, err
+	}
+	rctx, cancel := context.WithTimeout(ctx, maxExchange)
+	defer cancel()
+	var b callBatch
+	if err := read(rctx, c, &b); err != nil {
+		return reading{}, errors.Wrap(err, "reply to hello")
+	}
+	now := relayTime(clock.Now())
+	if d := time.Duration(now - openedAt); d > maxExchange {
+		return reading{}, errors.Errorf("reply to hello took %v", d)
+	}
+	return b.Reading, b.Reading.check(openedAt, now)
+}
+
+// executeAll executes calls until the connection ends. Of the leader's readings
+// it uses the one with the lowest bound.
+func (w *Worker) executeAll(ctx context.Context, c *websocket.Conn, openedAt relayTime, best reading, results chan<- result) error {
 	slots := make(chan struct{}, maxOpenCalls)
 	for {
-		var calls []call
-		if err := read(cctx, c, &calls); err != nil {
-			if cause := context.Cause(cctx); cause != nil {
-				return cause
-			}
+		var m callBatch
+		if err := read(ctx, c, &m); err != nil {
 			return err
 		}
-		for i := range calls {
+		now := relayTime(clock.Now())
+		if err := m.Reading.check(openedAt, now); err != nil {
+			return err
+		}
+		if m.Reading.upperBound(now) < best.upperBound(now) {
+			best = m.Reading
+		}
+		b := newBatch(len(m.Calls))
+		for i := range m.Calls {
+			x := &m.Calls[i]
 			select {
 			case slots <- struct{}{}:
 			default:
 				// The leader sends a call without a result again.
-				w.Logger.Log("msg", "call dropped: too many open calls", "runner", calls[i].Runner)
+				w.Logger.Log("msg", "call dropped: too many open calls", "runner", x.Runner)
+				b.end(w.Logger)
 				continue
 			}
+			until := expiry{at: x.Expiry, reading: best, batch: b}
 			go func() {
 				defer func() { <-slots }()
+				r := w.execute(ctx, x, until)
+				b.end(w.Logger)
 				select {
-				case results <- w.execute(cctx, &calls[i]):
-				case <-cctx.Done():
+				case results <- r:
+				case <-ctx.Done():
 				}
 			}()
 		}
@@ -115,35 +165,42 @@
 // errLeaderChanged ends the connection to a daemon that no longer leads.
 var errLeaderChanged = errors.New("leader changed")
 
-// execute makes one call to a runner.
-func (w *Worker) execute(ctx context.Context, c *call) result {
+// execute makes one call to a runner, unless it has expired.
+func (w *Worker) execute(ctx context.Context, c *call, until expiry) result {
+	ctx, cancel := until.context(ctx)
+	defer cancel()
+	if c.Kind == startRuns {
+		return result{Seq: c.Seq, Starts: w.startAll(ctx, c, until)}
+	}
 	to := runner.Target{ID: c.Runner, Addr: c.Addr}
 	var reply runner.Reply
 	var rep *runner.Report
-	var err error
-	switch c.Kind {
-	case startRun:
-		reply, err = w.Runners.Start(ctx, to, c.Term, runner.Start{
-			Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: c.LeaseUntil, Checkpoint: c.Checkpoint, Permit: c.Permit,
-		})
-	case stopRun:
-		reply, err = w.Runners.Stop(ctx, to, c.Term, c.Task, c.Attempt)
-	case throttleRun:
-		reply, err = w.Runners.Throttle(ctx, to, c.Term, c.Task, c.Attempt, c.Percent)
-	case pollRunner:
-		rep, reply, err = w.Runners.Poll(ctx, to, c.Term, runner.PollRequest{LeaseUntil: c.LeaseUntil, Acked: c.Acked, Wait: c.Wait})
-	case startRuns:
-		return result{Seq: c.Seq, Starts: w.startAll(ctx, to, c)}
-	default:
-		err = errors.Wrapf(runner.ErrUnreachable, "call of kind %d", c.Kind)
+	err := until.check()
+	if err == nil {
+		switch c.Kind {
+		case startRun:
+			reply, err = w.Runners.Start(ctx, to, c.Term, runner.Start{
+				Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: c.LeaseUntil, Checkpoint: c.Checkpoint, Permit: c.Permit,
+			})
+		case stopRun:
+			reply, err = w.Runners.Stop(ctx, to, c.Term, c.Task, c.Attempt)
+		case throttleRun:
+			reply, err = w.Runners.Throttle(ctx, to, c.Term, c.Task, c.Attempt, c.Percent)
+		case pollRunner:
+			rep, reply, err = w.Runners.Poll(ctx, to, c.Term, runner.PollRequest{LeaseUntil: c.LeaseUntil, Acked: c.Acked, Wait: c.Wait})
+		default:
+			err = errors.Wrapf(runner.ErrUnreachable, "call of kind %d", c.Kind)
+		}
 	}
 	r := result{Seq: c.Seq, Verdict: reply.Verdict, Clock: reply.Clock, Report: rep}
 	r.Outcome, r.Err = outcomeOf(err)
 	return r
 }
 
-// startAll makes several starts on a runner at once.
-func (w *Worker) startAll(ctx context.Context, to runner.Target, c *call) []startOutcome {
+// startAll makes several starts on a runner at once. Those that have expired are
+// not made.
+func (w *Worker) startAll(ctx context.Context, c *call, until expiry) []startOutcome {
+	to := runner.Target{ID: c.Runner, Addr: c.Addr}
 	outcomes := make([]startOutcome, len(c.Starts))
 	var wg sync.WaitGroup
 	for i := range c.Starts {
@@ -153,9 +210,13 @@
 			continue
 		}
 		wg.Go(func() {
-			reply, err := w.Runners.Start(ctx, to, c.Term, runner.Start{
-				Task: x.Task, Attempt: x.Attempt, Spec: c.Specs[x.Spec], LeaseUntil: c.LeaseUntil, Checkpoint: x.Checkpoint, Permit: x.Permit,
-			})
+			var reply runner.Reply
+			err := until.check()
+			if err == nil {
+				reply, err = w.Runners.Start(ctx, to, c.Term, runner.Start{
+					Task: x.Task, Attempt: x.Attempt, Spec: c.Specs[x.Spec], LeaseUntil: c.LeaseUntil, Checkpoint: x.Checkpoint, Permit: x.Permit,
+				})
+			}
 			o := startOutcome{Verdict: reply.Verdict, Clock: reply.Clock}
 			o.Outcome, o.Err = outcomeOf(err)
 			outcomes[i] = o
