soak: tasks and faults that crash runners, odd entries, capacities

The soak could trigger neither a task that crashes one runner after another nor a capacity that shrinks, and a runner never started again with a new ID at its address or within some milliseconds.

TestSoakCrashes adds them in a second schedule with a random source of its own, beside the old faults, and checks BUDGET, LIMIT and the jobs that are given up. A proxy can refuse connections, a connection belongs to one incarnation of a runner, and a job with two crashed runners under a task may be reported as failed.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -33,6 +33,7 @@
 // persistent connections.
 type caller struct {
 	rand    *rand.Rand
+	deadly  *rand.Rand // chooses the jobs with a deadly task; nil if there are none
 	ledger  *ledger
 	daemons []*daemon
 	client  *http.Client
@@ -64,6 +65,10 @@
 		}
 		j.steps = append(j.steps, step)
 	}
+	if c.deadly != nil && c.deadly.IntN(jobsPerDeadly) == 0 {
+		s := c.deadly.IntN(len(j.steps))
+		j.deadly = &job.Task{Job: id, Step: s, Index: c.deadly.IntN(j.steps[s].Count)}
+	}
 	c.ledger.mu.Lock()
 	c.ledger.jobs[id] = j
 	c.ledger.mu.Unlock()
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -29,15 +29,25 @@
 	cancelAckedAt  time.Time // when the cancellation was acknowledged
 	cancelSent     bool
 	outcome        string
+	deadly         *job.Task // crashes each runner that starts it; nil if there is none
 }
 
 // taskRecord is what runners have observed of a task.
 type taskRecord struct {
-	runningOn map[*runnerServer]int // attempts of the active runs, by runner
-	done      bool                  // a run ended as done
-	acked     bool                  // the result done was acknowledged
+	runningOn map[*runnerServer]activeRun
+	done      bool // a run ended as done
+	acked     bool // the result done was acknowledged
 	starts    []time.Time
 	failed    map[int]bool // attempts that ended as failed
+	crashes   int          // runners that crashed during a run of it
+	// startsAfterCrashes counts the starts after maxCrashes crashes.
+	startsAfterCrashes int
+}
+
+// activeRun is a run with the ID of its runner at the start.
+type activeRun struct {
+	attempt int
+	runner  string
 }
 
 // ledger checks the guarantees that the package comment lists. Each violation is
@@ -47,21 +57,27 @@
 	mu sync.Mutex
 	// calmSince is when the last fault ended; zero while a fault is active.
 	calmSince    time.Time
+	activeFaults int
 	jobs         map[job.ID]*jobRecord
 	tasks        map[job.Task]*taskRecord
 	violations   int
-	violatedJobs []job.ID // jobs with a violated guarantee
+	violated     map[string]int // number of violations by format of the message
+	violatedJobs []job.ID       // jobs whose log lines explain the violations
+	events       []string       // log lines of the stand-ins
+	shrunkStarts int            // starts that were checked against a capacity that has shrunk
 }
 
 func newLedger(t *testing.T) *ledger {
-	return &ledger{t: t, jobs: make(map[job.ID]*jobRecord), tasks: make(map[job.Task]*taskRecord), calmSince: time.Now()}
+	return &ledger{t: t, jobs: make(map[job.ID]*jobRecord), tasks: make(map[job.Task]*taskRecord), violated: make(map[string]int), calmSince: time.Now()}
 }
 
 // violation records a violated guarantee and reports it as a test error. The ID
 // is empty if it does not concern a job.
 func (l *ledger) violation(id job.ID, format string, args ...any) {
 	l.violations++
-	if id != "" && !slices.Contains(l.violatedJobs, id) {
+	l.violated[format]++
+	// Jobs with different violations are explained first.
+	if id != "" && !slices.Contains(l.violatedJobs, id) && (l.violated[format] == 1 || len(l.violatedJobs) < maxExplainedJobs) {
 		l.violatedJobs = append(l.violatedJobs, id)
 	}
 	l.t.Errorf("%s: %s", time.Now().Format("05.000"), fmt.Sprintf(format, args...))
@@ -70,7 +86,7 @@
 func (l *ledger) task(t job.Task) *taskRecord {
 	rec := l.tasks[t]
 	if rec == nil {
-		rec = &taskRecord{runningOn: make(map[*runnerServer]int), failed: make(map[int]bool)}
+		rec = &taskRecord{runningOn: make(map[*runnerServer]activeRun), failed: make(map[int]bool)}
 		l.tasks[t] = rec
 	}
 	return rec
@@ -92,9 +108,10 @@
 	case j.pendingSubmits == 0 && !j.submitUnknown && j.acceptedAt.IsZero():
 		l.violation(t.Job, "task %s started, but every attempt to submit its job was rejected", t)
 	}
-	for other, a := range rec.runningOn {
-		l.violation(t.Job, "task %s started on runner %s as attempt %d while it runs on runner %s as attempt %d", t, on.id, attempt, other.id, a)
+	for _, a := range rec.runningOn {
+		l.violation(t.Job, "task %s started on runner %s as attempt %d while it runs on runner %s as attempt %d", t, on.id, attempt, a.runner, a.attempt)
 	}
+	l.checkBudget(on, t, rec)
 	if rec.acked {
 		l.violation(t.Job, "task %s started on runner %s after its result done was acknowledged", t, on.id)
 	}
@@ -117,7 +134,7 @@
 			l.violation(t.Job, "task %s started %v after the cancellation of its job was acknowledged", t, now.Sub(j.cancelAckedAt))
 		}
 	}
-	rec.runningOn[on] = attempt
+	rec.runningOn[on] = activeRun{attempt: attempt, runner: on.id}
 	rec.starts = append(rec.starts, now)
 }
 
@@ -132,6 +149,8 @@
 		rec.done = true
 	case "failed":
 		rec.failed[attempt] = true
+	case "crashed":
+		rec.crashes++
 	}
 }
 
@@ -163,8 +182,8 @@
 			}
 		}
 	case "failed":
-		if !l.hasFailed(id, j) {
-			l.violation(id, "job %s reported as failed, but none of its tasks has failed often enough", id)
+		if !l.hasFailed(id, j) && !l.hasCrashed(id, j) {
+			l.violation(id, "job %s reported as failed, but none of its tasks has failed or crashed runners often enough", id)
 		}
 	case "cancelled":
 		if !j.cancelSent {
@@ -209,13 +228,14 @@
 	return ids
 }
 
-// setActiveFaults records that a fault has started or ended and how many are
-// active now. Zero starts the calm time.
-func (l *ledger) setActiveFaults(active int) {
+// addActiveFaults adds n to the number of active faults. Zero starts the calm
+// time.
+func (l *ledger) addActiveFaults(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.activeFaults += n
 	l.calmSince = time.Time{}
-	if active == 0 {
+	if l.activeFaults == 0 {
 		l.calmSince = time.Now()
 	}
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -82,7 +82,7 @@
 func newDaemon(t *testing.T, ctx context.Context, bin string, ip netip.Addr, name string, store netip.AddrPort, onExit func(string, error)) *daemon {
 	t.Helper()
 	d := &daemon{
-		name: name, bin: bin, dir: t.TempDir(), callerAddr: netip.AddrPortFrom(ip, basePort+10), storeProxy: newProxy(t, ctx, store),
+		name: name, bin: bin, dir: t.TempDir(), callerAddr: netip.AddrPortFrom(ip, basePort+10), storeProxy: newProxy(t, ctx, store, anyPort),
 		onExit: onExit,
 	}
 	text := fmt.Sprintf(settingsText, name, ip, basePort, basePort+9, basePort+10, basePort+11, d.storeProxy.addr())
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -29,31 +29,71 @@
 
 // proxy is a TCP proxy on loopback to one address.
 type proxy struct {
-	target   netip.AddrPort
-	listener net.Listener
-	mode     atomic.Int32
-	ctx      context.Context
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	target  netip.AddrPort
+	address netip.AddrPort
+	mode    atomic.Int32
+	ctx     context.Context
+
+	mu       sync.Mutex
+	listener net.Listener      // nil while connections are refused
+	opened   int               // counts the listeners
+	conns    map[net.Conn]bool // true for connections to the target
 }
 
-func newProxy(t *testing.T, ctx context.Context, target netip.AddrPort) *proxy {
+// anyPort is the address of a proxy that need not listen again after close.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func newProxy(t *testing.T, ctx context.Context, target, address netip.AddrPort) *proxy {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
+	p := &proxy{target: target, address: address, ctx: ctx, conns: make(map[net.Conn]bool)}
+	if err := p.open(); err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{target: target, listener: listener, ctx: ctx, conns: make(map[net.Conn]bool)}
-	go p.accept()
 	context.AfterFunc(ctx, func() {
-		_ = listener.Close() // accept ends even if this fails
+		p.close()
 		p.reset()
 	})
 	return p
 }
 
-func (p *proxy) addr() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+func (p *proxy) addr() netip.AddrPort { return p.address }
+
+// open accepts connections, unless it does already.
+func (p *proxy) open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.ctx.Err() != nil {
+		return nil
+	}
+	l, err := new(net.ListenConfig).Listen(p.ctx, "tcp", p.address.String())
+	if err != nil {
+		return err
+	}
+	p.listener, p.address = l, netip.MustParseAddrPort(l.Addr().String())
+	p.opened++
+	go p.accept(l, p.opened)
+	return nil
+}
+
+// close ends all connections and refuses new ones until open, as the exit of the
+// target process does: its callers read an end of file, and it receives no more
+// of the data in transit.
+func (p *proxy) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return
+	}
+	_ = p.listener.Close() // accept ends even if this fails
+	p.listener = nil
+	for c, toTarget := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok && toTarget {
+			_ = t.SetLinger(0) // fails if the connection is already closed
+		}
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
 
 // set changes the mode; resetting also resets open connections.
 func (p *proxy) set(m mode) {
@@ -75,15 +115,21 @@
 	}
 }
 
-func (p *proxy) track(c net.Conn) {
+// track records a pair of connections, and reports whether the listener that
+// accepted the first is still open.
+func (p *proxy) track(c, target net.Conn, opened int) bool {
 	p.mu.Lock()
-	p.conns[c] = true
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	if p.listener == nil || p.opened != opened {
+		return false
+	}
+	p.conns[c], p.conns[target] = false, true
+	return true
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener, opened int) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -97,8 +143,11 @@
 			_ = c.Close()
 			continue
 		}
-		p.track(c)
-		p.track(s)
+		if !p.track(c, s, opened) {
+			_ = c.Close()
+			_ = s.Close()
+			continue
+		}
 		go p.copy(s, c, true)
 		go p.copy(c, s, false)
 	}
--- a/internal/soak/runner_test.go
+++ b/internal/soak/runner_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,10 +19,21 @@
 
 // runnerServer implements the contract of a runner over HTTP, in real time.
 type runnerServer struct {
-	id     string
-	ledger *ledger
+	machine string
+	ledger  *ledger
+	// accounting is set if the runner accounts for the resources of its runs and
+	// takes some time to stop them.
+	accounting bool
+	// admissionCheck is set if an accounting runner rejects what does not fit.
+	admissionCheck bool
+	// onDeadlyTask is called after a deadly task has started, without the lock.
+	onDeadlyTask func(t job.Task, attempt int)
 
 	mu          sync.Mutex
+	id          string
+	nextID      string // ID of the next incarnation, empty if it is the same
+	capacity    int    // thousandths of a core
+	shrunk      []shrinkage
 	changed     chan struct{}
 	incarnation int // counts restarts; timers of earlier incarnations have no effect
 	startedAt   time.Time
@@ -39,6 +51,7 @@
 	attempt int
 	endsAt  time.Time
 	cause   string
+	cpu     int
 }
 
 type runnerResult struct {
@@ -50,7 +63,7 @@
 
 func newRunner(t *testing.T, id string, l *ledger) (*runnerServer, net.Listener) {
 	t.Helper()
-	r := &runnerServer{id: id, ledger: l, changed: make(chan struct{})}
+	r := &runnerServer{id: id, machine: "m-" + id, ledger: l, capacity: fullCapacity, changed: make(chan struct{})}
 	r.resetState()
 	ln, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -60,7 +73,7 @@
 	m.HandleFunc("POST /api/run-start", r.command(r.start))
 	m.HandleFunc("POST /api/run-stop", r.command(r.stop))
 	m.HandleFunc("POST /api/hold", r.command(r.poll))
-	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute, ConnContext: r.connContext}
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return r, ln
@@ -73,12 +86,17 @@
 	r.running, r.rejectUpTo, r.results = make(map[job.Task]*runnerRun), make(map[job.Task]int), nil
 }
 
-// crash ends the incarnation; all of its runs and results are lost.
-func (r *runnerServer) crash() {
+// crash ends the incarnation; all of its runs and results are lost. With newID
+// set, the next incarnation has another ID.
+func (r *runnerServer) crash(newID bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.down = true
 	r.crashes++
+	if newID {
+		r.nextID = fmt.Sprintf("%s-%d", strings.TrimPrefix(r.machine, "m-"), r.incarnation)
+	}
+	r.ledger.event("runner crashed", r.id, "runs", len(r.running), "new-id", r.nextID)
 	for t, run := range r.running {
 		r.ledger.ended(r, t, run.attempt, "crashed")
 	}
@@ -87,15 +105,20 @@
 }
 
 // recoverFromCrash starts the next incarnation, unless another crash has not
-// ended, and reports whether it did.
-func (r *runnerServer) recoverFromCrash() bool {
+// ended, and reports whether it did. It returns the previous ID if that is no
+// longer in use.
+func (r *runnerServer) recoverFromCrash() (previous string, recovered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.crashes--; r.crashes > 0 {
-		return false
+		return "", false
+	}
+	if r.nextID != "" {
+		previous, r.id, r.nextID = r.id, r.nextID, ""
 	}
 	r.resetState()
-	return true
+	r.ledger.event("runner started", r.id, "born", r.startedAt.UnixMilli(), "previous", previous)
+	return previous, true
 }
 
 func (r *runnerServer) notify() {
@@ -107,18 +130,23 @@
 // an incarnation.
 func (r *runnerServer) clock() int64 { return time.Since(r.startedAt).Milliseconds() + 1000 }
 
-// storeEntry returns the value of the runner's registration in the store.
-func (r *runnerServer) storeEntry(addr string) []byte {
+// storeEntry returns the key and value of the runner's registration in the
+// store, altered by change if it is not nil. It reports whether the runner is up.
+func (r *runnerServer) storeEntry(addr string, change func(entry map[string]any)) (string, []byte, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b, err := json.Marshal(map[string]any{
-		"service": "pool", "addr": addr, "zone": "a", "machine": "m-" + r.id, "version": "v1", "slots": 8, "state": "ready",
-		"capacity": map[string]int{"cpu": 8000, "mem-mb": 32768}, "labels": []string{"a", "r1"}, "born": r.startedAt.UnixMilli(), "seq": 1,
-	})
+	entry := map[string]any{
+		"service": "pool", "addr": addr, "zone": "a", "machine": r.machine, "version": "v1", "slots": 8, "state": "ready",
+		"capacity": map[string]int{"cpu": r.capacity, "mem-mb": 32768}, "labels": []string{"a", "r1"}, "born": r.startedAt.UnixMilli(), "seq": 1,
+	}
+	if change != nil {
+		change(entry)
+	}
+	b, err := json.Marshal(entry)
 	if err != nil {
 		panic(err)
 	}
-	return b
+	return "servers/" + r.id, b, !r.down
 }
 
 type runnerCommand struct {
@@ -141,7 +169,7 @@
 			return
 		}
 		r.mu.Lock()
-		if r.down {
+		if r.down || q.Context().Value(incarnationKey{}) != r.incarnation {
 			r.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
@@ -217,12 +245,18 @@
 		return http.StatusOK, map[string]any{}
 	case run != nil || c.Attempt <= r.rejectUpTo[t]:
 		return rejected("old")
-	case len(r.running) >= 8:
+	case r.accounting && r.admissionCheck && r.used()+r.ledger.cpu(t) > r.capacity, !r.accounting && len(r.running) >= 8:
 		return rejected("room")
 	}
 	runTime, cause := taskOutcome(c.Task, c.Attempt)
-	r.running[t] = &runnerRun{attempt: c.Attempt, endsAt: time.Now().Add(runTime), cause: cause}
+	r.running[t] = &runnerRun{attempt: c.Attempt, endsAt: time.Now().Add(runTime), cause: cause, cpu: r.ledger.cpu(t)}
 	r.ledger.started(r, t, c.Attempt, c.Spec)
+	if r.accounting && !r.admissionCheck {
+		r.ledger.checkLimit(r, t)
+	}
+	if r.ledger.isDeadly(t) {
+		time.AfterFunc(deadlyDelay, func() { r.onDeadlyTask(t, c.Attempt) })
+	}
 	incarnation := r.incarnation
 	time.AfterFunc(runTime, func() {
 		r.mu.Lock()
@@ -258,7 +292,11 @@
 	}
 	r.rejectUpTo[t] = max(r.rejectUpTo[t], c.Attempt)
 	if run := r.running[t]; run != nil && run.attempt <= c.Attempt {
-		r.finish(t, "stopped")
+		if !r.accounting {
+			r.finish(t, "stopped")
+		} else {
+			r.finishSlowly(t, run)
+		}
 	}
 	return http.StatusOK, map[string]any{}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -57,37 +56,52 @@
 	runners       []*runnerServer
 	runnerProxies []*proxy // in the order of runners
 	version       atomic.Int64
-	activeFaults  atomic.Int64 // number of active faults
 	wg            sync.WaitGroup
+	size          soakSize
+
+	admissionCheck bool       // of the service that the tasks run on
+	runnerRand     *rand.Rand // of the schedule of runner faults
+	registerMu     sync.Mutex // held while the entry of a runner is written or removed
+}
+
+// soakSize is the number of processes and stand-ins of a soak.
+type soakSize struct {
+	daemons, runners, callers int
+	crashes                   bool // also injects the faults of TestSoakCrashes
 }
 
 // TestSoak guards against violated guarantees that only combinations of
 // overlapping faults cause, which tests of single faults do not cover.
 func TestSoak(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "gypsumtrestle")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../../cmd/gypsumtrestle").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	bin := buildDaemon(t)
+	size := soakSize{daemons: daemonCount, runners: runnerCount, callers: callerCount}
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, bin, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, bin, seed, size) })
 	}
 	for seed, cause := range regressions {
 		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
 			t.Log(cause)
-			soak(t, bin, seed)
+			soak(t, bin, seed, size)
 		})
 	}
 }
 
-// TestHangupAtStart guards against a daemon that is terminated by SIGHUP, the
-// signal for changed settings, because the signal is received after the process
-// has started and before it handles signals.
-func TestHangupAtStart(t *testing.T) {
+// buildDaemon builds the program under test and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "gypsumtrestle")
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../../cmd/gypsumtrestle").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return bin
+}
+
+// TestHangupAtStart guards against a daemon that is terminated by SIGHUP, the
+// signal for changed settings, because the signal is received after the process
+// has started and before it handles signals.
+func TestHangupAtStart(t *testing.T) {
+	bin := buildDaemon(t)
 	r := &rig{t: t, ctx: t.Context(), ledger: newLedger(t)}
 	d := newDaemon(t, t.Context(), bin, loopback(0, 0), "host", netip.MustParseAddrPort("127.0.0.1:9"), r.daemonExited)
 	defer d.kill()
@@ -130,10 +144,13 @@
 	return r.ledger.violations
 }
 
-func soak(t *testing.T, bin string, seed uint64) {
+func soak(t *testing.T, bin string, seed uint64, size soakSize) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
 	defer cancel()
-	r := &rig{t: t, ctx: ctx, rand: rand.New(rand.NewPCG(seed, 1)), ledger: newLedger(t), store: &storeServer{}}
+	r := &rig{t: t, ctx: ctx, rand: rand.New(rand.NewPCG(seed, 1)), ledger: newLedger(t), store: &storeServer{}, size: size, admissionCheck: true}
+	if size.crashes {
+		r.startCrashes(seed)
+	}
 	r.startProcesses(bin, seed)
 	defer func() {
 		for _, d := range r.daemons {
@@ -142,13 +159,22 @@
 	}()
 	calling, stopCalling := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	for i := range callerCount {
+	for i := range size.callers {
+		c := newCaller(seed*100+uint64(i), r.ledger, r.daemons)
+		if size.crashes {
+			c.deadly = deadlyJobs(seed*100 + uint64(i))
+		}
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
-			newCaller(seed*100+uint64(i), r.ledger, r.daemons).run(calling)
+			c.run(calling)
 		}()
 	}
+	for _, d := range r.daemons {
+		if size.crashes {
+			go holdConnection(ctx, d)
+		}
+	}
 	r.injectFaults()
 	sleep(ctx, time.Second)
 	stopCalling()
@@ -159,37 +185,12 @@
 	}
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
-	t.Logf("seed %d: %d jobs, %d tasks, %d violated guarantees", seed, len(r.ledger.jobs), len(r.ledger.tasks), r.ledger.violations)
+	r.logCounts(seed)
 	if len(r.ledger.tasks) == 0 {
 		t.Error("no task was started during the soak")
 	}
 }
 
-// maxExplainedJobs is the maximum number of jobs with violated guarantees whose
-// log lines are printed.
-const maxExplainedJobs = 3
-
-// explain prints, in order of time, the log lines of the daemons about terms,
-// unreachable runners and jobs with violated guarantees.
-func (r *rig) explain() {
-	r.ledger.mu.Lock()
-	jobs := r.ledger.violatedJobs[:min(len(r.ledger.violatedJobs), maxExplainedJobs)]
-	r.ledger.mu.Unlock()
-	var lines []string
-	for _, d := range r.daemons {
-		lines = append(lines, d.logLines("msg=\"term ")...)
-		lines = append(lines, d.logLines("msg=\"runner unreachable\"")...)
-		lines = append(lines, d.logLines("msg=\"runner reached\"")...)
-		for _, id := range jobs {
-			lines = append(lines, d.logLines(string(id))...)
-		}
-	}
-	slices.Sort(lines)
-	for _, line := range lines {
-		r.t.Log(line)
-	}
-}
-
 // startProcesses starts the stand-ins and the daemons.
 func (r *rig) startProcesses(bin string, seed uint64) {
 	t := r.t
@@ -202,13 +203,20 @@
 	t.Cleanup(func() { _ = s.Close() })
 	go r.expireLeases()
 	r.configure()
-	for i := range runnerCount {
+	for i := range r.size.runners {
 		n, ln := newRunner(t, fmt.Sprintf("i-%d", i), r.ledger)
-		runnerProxy := newProxy(t, r.ctx, netip.MustParseAddrPort(ln.Addr().String()))
+		address := anyPort
+		if r.size.crashes {
+			address = netip.AddrPortFrom(loopback(seed, firstRunnerAddr+i), basePort)
+		}
+		runnerProxy := newProxy(t, r.ctx, netip.MustParseAddrPort(ln.Addr().String()), address)
 		r.runners, r.runnerProxies = append(r.runners, n), append(r.runnerProxies, runnerProxy)
+		if r.size.crashes {
+			r.prepareCrashes(i, seed)
+		}
 		r.registerRunner(i)
 	}
-	for i := range daemonCount {
+	for i := range r.size.daemons {
 		ip := loopback(seed, i)
 		d := newDaemon(t, r.ctx, bin, ip, fmt.Sprintf("host-%d", i), netip.MustParseAddrPort(l.Addr().String()), r.daemonExited)
 		if *otherBuild != "" {
@@ -260,7 +268,7 @@
 			"name": "work", "host": callerHost, "prefix": callerPath, "timeout-ms": 3000 + v, "target-latency-ms": 600,
 			"service": "pool", "max-attempts": maxAttempts, "stretch": 1.6,
 		}},
-		"services": []map[string]any{{"name": "pool", "admission-check": true}},
+		"services": []map[string]any{{"name": "pool", "admission-check": r.admissionCheck}},
 		"limits":   map[string]any{"max-body-bytes": 262144},
 	})
 	if err != nil {
@@ -268,109 +276,3 @@
 	}
 	r.store.Put("op/config", b)
 }
-
-// registerRunner writes a runner's entry to the store.
-func (r *rig) registerRunner(i int) {
-	r.store.Put("servers/"+r.runners[i].id, r.runners[i].storeEntry(r.runnerProxies[i].addr().String()))
-}
-
-// injectFaults injects overlapping faults for faultDuration and waits until the
-// last one has ended.
-func (r *rig) injectFaults() {
-	end := time.Now().Add(*faultDuration)
-	sleep(r.ctx, 500*time.Millisecond)
-	for time.Now().Before(end) {
-		f := r.nextFault()
-		r.ledger.setActiveFaults(int(r.activeFaults.Add(1)))
-		r.wg.Add(1)
-		go func() {
-			defer r.wg.Done()
-			f()
-			r.ledger.setActiveFaults(int(r.activeFaults.Add(-1)))
-		}()
-		sleep(r.ctx, time.Duration(100+r.rand.IntN(900))*time.Millisecond)
-	}
-	r.wg.Wait()
-}
-
-// nextFault returns a random fault as a function that runs it. All random numbers
-// are drawn before the fault runs, so that a seed determines the schedule.
-func (r *rig) nextFault() func() {
-	d := r.daemons[r.rand.IntN(len(r.daemons))]
-	i := r.rand.IntN(len(r.runners))
-	runnerProxy := r.runnerProxies[i]
-	duration := time.Duration(200+r.rand.IntN(3500)) * time.Millisecond
-	m := mode(1 + r.rand.IntN(4))
-	during := func(on, off func()) func() {
-		return func() {
-			on()
-			sleep(r.ctx, duration)
-			off()
-		}
-	}
-	restart := func(s syscall.Signal) func() {
-		return func() {
-			if err := d.restart(s, duration/4); err != nil {
-				r.t.Errorf("restart: %v", err)
-			}
-		}
-	}
-	switch r.rand.IntN(13) {
-	case 0, 1:
-		return restart(syscall.SIGKILL)
-	case 2:
-		return restart(syscall.SIGTERM)
-	case 3, 4:
-		return during(func() { d.signal(syscall.SIGSTOP) }, func() { d.signal(syscall.SIGCONT) })
-	case 5:
-		return during(func() {
-			if d.loaded() {
-				d.signal(syscall.SIGHUP)
-			}
-		}, func() {})
-	case 6:
-		return during(func() { d.storeProxy.set(m) }, func() { d.storeProxy.set(pass) })
-	case 7:
-		return during(func() { runnerProxy.set(m) }, func() { runnerProxy.set(pass) })
-	case 8:
-		return during(func() {
-			r.runners[i].crash()
-			runnerProxy.reset() // data in transit is lost with the process
-		}, func() {
-			if r.runners[i].recoverFromCrash() {
-				r.registerRunner(i)
-			}
-		})
-	case 9:
-		return during(func() { r.store.busy.Store(true) }, func() { r.store.busy.Store(false) })
-	case 10:
-		return during(func() { r.store.delay.Store(int64(300 * time.Millisecond)) }, func() { r.store.delay.Store(0) })
-	case 11:
-		return during(func() { r.store.loseResponses.Store(true) }, func() { r.store.loseResponses.Store(false) })
-	}
-	return during(func() {
-		r.store.Compact()
-		r.store.RevokeLeases()
-		r.configure()
-	}, func() {})
-}
-
-// awaitOutcomes waits, without faults, until every accepted job has an outcome.
-func (r *rig) awaitOutcomes(seed uint64) {
-	c := newCaller(seed, r.ledger, r.daemons)
-	defer c.client.CloseIdleConnections()
-	deadline := time.Now().Add(settleTimeout)
-	ids := r.ledger.unfinished()
-	for len(ids) > 0 && time.Now().Before(deadline) {
-		for _, id := range ids {
-			c.state(r.ctx, id)
-		}
-		sleep(r.ctx, 200*time.Millisecond)
-		ids = r.ledger.unfinished()
-	}
-	for _, id := range ids {
-		r.ledger.mu.Lock()
-		r.ledger.violation(id, "job %s was accepted, but has no outcome", id)
-		r.ledger.mu.Unlock()
-	}
-}
