sched: stop starts in flight on the next incarnation though being stopped

A run whose start was in flight when its stop was requested has phase stopping and no time of confirmation. After a restart of its runner under the same ID it counted as settled and was lost at once, also if only the previous incarnation had confirmed the stop, and its task was started again while the next incarnation could still carry out the start.

Unsettled is any run whose start was not confirmed before the poll. TestStopOfStartInFlightForgotten failed before in both cases ('started on a before the start on a was stopped').

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -67,7 +67,7 @@
 func (s *State) takeUnsettled(rs *runnerState, sent clock.BootTime) []*run {
 	var unsettled []*run
 	for _, r := range runsOf(rs) {
-		if r.startUnknown || r.phase == starting || !sent.After(r.confirmedAt) {
+		if r.startUnknown || r.confirmedAt == 0 || !sent.After(r.confirmedAt) {
 			rs.remove(r)
 			unsettled = append(unsettled, r)
 		}
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -186,3 +186,30 @@
 		t.Errorf("poll acknowledges %d results of a runner that may have started again", p.Acked)
 	}
 }
+
+// TestStopOfStartInFlightForgotten guards against a task that is started again
+// while the next incarnation of its runner may carry out its start, which was
+// being stopped on the previous one.
+func TestStopOfStartInFlightForgotten(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.runner("a", "b")
+		f.job(1, job1)
+		start := ofKind(f.plan(), StartRun)[0]
+		f.s.stop(f.s.findRun(&start), "test")
+		stops := f.s.Commands()
+		if confirmed {
+			f.accept(stops)
+		}
+		f.now += second
+		f.reportOf(start.To.ID, 2, f.now)
+		f.s.RosterStored(f.s.Roster(f.now, false))
+		commands := f.plan()
+		if got := ofKind(commands, StartRun); len(got) != 0 {
+			t.Errorf("stop confirmed %t: started on %s before the start on %s was stopped", confirmed, got[0].To.ID, start.To.ID)
+		}
+		if got := ofKind(commands, StopRun); len(got) != 1 {
+			t.Errorf("stop confirmed %t: %d stops at the next incarnation, want 1", confirmed, len(got))
+		}
+	}
+}
