sched: a reply to a command concerns the incarnation it was queued for

A reply to a stop on the previous incarnation of a runner that arrived after a poll had shown the next one counted for the stop of the unsettled start there: that stop was not sent, and the task was started again while the next incarnation could still carry out the start. A stop on the previous incarnation was also repeated at its address without end.

Commands name the incarnation that they were queued for. A reply to one of an earlier incarnation is ignored, and its stop is not repeated. TestStopReplyOfPreviousIncarnation failed before ('the next incarnation has confirmed no stop').

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -35,6 +35,9 @@
 	Machine machine.ID
 	Wave    int    // of MaintainMachine
 	Pool    string // of MoveMachine
+	// incarnation is the one of the runner when the command was queued. The
+	// reply to a command concerns no run of a later one.
+	incarnation runner.Incarnation
 }
 
 // start records a run, queues the command to start it and logs it.
@@ -57,7 +60,7 @@
 	t.attempt = max(t.attempt, attempt)
 	t.reserved, t.possibleResult = 0, false
 	s.commands = append(s.commands, Command{
-		Kind: StartRun, To: rs.target(), Task: t.name, Attempt: attempt,
+		Kind: StartRun, To: rs.target(), Task: t.name, Attempt: attempt, incarnation: rs.Incarnation,
 	})
 }
 
@@ -96,7 +99,7 @@
 	}
 	r.phase, r.stopReason, r.sending = stopping, why, true
 	s.commands = append(s.commands, Command{
-		Kind: StopRun, To: r.runner.target(), Task: r.task.name, Attempt: r.attempt,
+		Kind: StopRun, To: r.runner.target(), Task: r.task.name, Attempt: r.attempt, incarnation: r.runner.Incarnation,
 	})
 	s.Logger.Log("msg", "run stop requested", "task", r.task.name, "attempt", r.attempt, "runner", r.runner.ID, "why", why)
 }
@@ -109,7 +112,7 @@
 			continue
 		}
 		for _, r := range rs.runs {
-			c := Command{To: rs.target(), Task: r.task.name, Attempt: r.attempt}
+			c := Command{To: rs.target(), Task: r.task.name, Attempt: r.attempt, incarnation: rs.Incarnation}
 			switch {
 			case r.sending:
 				continue
@@ -133,10 +136,17 @@
 	return commands
 }
 
+// isOutdated reports whether a command was queued for an earlier incarnation of
+// its runner.
+func (s *State) isOutdated(c *Command) bool {
+	rs := s.runners[c.To.ID]
+	return rs != nil && rs.Incarnation != c.incarnation
+}
+
 // findRun returns the run that a command refers to, or nil.
 func (s *State) findRun(c *Command) *run {
 	rs := s.runners[c.To.ID]
-	if rs == nil {
+	if rs == nil || s.isOutdated(c) {
 		return nil
 	}
 	r := rs.runs[c.Task]
@@ -161,7 +171,7 @@
 	switch c.Kind {
 	case StopRun:
 		// A stop for a run that is not in the state is sent once.
-		return runner.Start{}, r == nil || (r.phase == stopping && r.stopConfirmed == 0)
+		return runner.Start{}, r == nil && !s.isOutdated(c) || r != nil && r.phase == stopping && r.stopConfirmed == 0
 	case ThrottleRun:
 		return runner.Start{}, r != nil && r.phase == running && r.throttle == c.Percent
 	case StartRun, MaintainMachine, MoveMachine:
@@ -198,7 +208,7 @@
 
 func (s *State) handleReply(c *Command, r *run, reply runner.Reply, replied bool, sent bool, now clock.BootTime) bool {
 	if r == nil {
-		return c.Kind == StopRun && !replied && s.runners[c.To.ID] != nil && !s.runners[c.To.ID].unreachable
+		return c.Kind == StopRun && !replied && s.runners[c.To.ID] != nil && !s.runners[c.To.ID].unreachable && !s.isOutdated(c)
 	}
 	if !replied {
 		if c.Kind == StartRun && sent {
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -213,3 +213,28 @@
 		}
 	}
 }
+
+// TestStopReplyOfPreviousIncarnation guards against a reply to a stop on the
+// previous incarnation that counts as the stop of a start which the next one may
+// carry out.
+func TestStopReplyOfPreviousIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.s.HandleReply(&start, runner.Reply{}, false, true, f.now)
+	f.s.stop(f.s.findRun(&start), "test")
+	stops := f.s.Commands()
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	if _, needed := f.s.Prepare(&stops[0], f.now); needed {
+		t.Error("the stop on the previous incarnation is repeated")
+	}
+	f.accept(stops)
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now)
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		t.Errorf("started on %s: the next incarnation has confirmed no stop", got[0].To.ID)
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -245,13 +245,13 @@
 	}
 	if t == nil {
 		s.Logger.Log("msg", "run of unknown task found", "runner", rs.ID, "task", reported.Task)
-		s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt})
+		s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt, incarnation: rs.Incarnation})
 		return nil
 	}
 	if old := rs.runs[reported.Task]; old != nil {
 		if old.attempt > reported.Attempt {
 			// The stop of the older run is in flight.
-			s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt})
+			s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt, incarnation: rs.Incarnation})
 			return nil
 		}
 		rs.remove(old)
--- a/internal/sched/throttle.go
+++ b/internal/sched/throttle.go
@@ -87,7 +87,7 @@
 	s.Logger.Log("msg", "best-effort throttle changed", "task", r.task.name, "runner", r.runner.ID, "from", r.throttle, "to", percent)
 	r.throttle, r.throttledAt = percent, now
 	s.commands = append(s.commands, Command{
-		Kind: ThrottleRun, To: r.runner.target(),
+		Kind: ThrottleRun, To: r.runner.target(), incarnation: r.runner.Incarnation,
 		Task: r.task.name, Attempt: r.attempt, Percent: percent,
 	})
 }
