lead: repeat a command that another runner replied to

Since a reply of another runner ends the runs of the runner only at its own address. At another one, such as that of a wrong entry, the run stayed marked as having a command in flight: a stop was never repeated, and the run of a cancelled job went on for ever.

The reply is handled as a rejection of its command, which the planning pass repeats at the runner's address; a start is taken back. TestRejectedStopNotRepeated failed before ('commands [] after the runner replied, want a stop at its own address').

--- a/internal/lead/command.go
+++ b/internal/lead/command.go
@@ -125,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := clock.Now()
-	if err == nil && t.handleRejection(c.To, reply, now) {
+	if err == nil && t.handleRejection(c.To, reply, now) && reply.Verdict == runner.Fenced {
 		return false
 	}
 	again := t.state.HandleReply(c, reply, err == nil, !errors.Is(err, runner.ErrUnreachable), now)
--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -201,3 +201,42 @@
 		t.Errorf("next leader has %+v, want the wave due a minute after its start", sts)
 	}
 }
+
+// TestRejectedStopNotRepeated guards against a run that is never stopped: another
+// runner replied to the stop, at the address of a wrong entry.
+func TestRejectedStopNotRepeated(t *testing.T) {
+	tm := newTestTerm(t, &lossyStore{Store: &store.Store{}})
+	tm.state.Configure(job.NewConfig(1, []*job.Queue{{Name: "q", Service: "p"}}, []*job.Service{{Name: "p"}}, job.Limits{}))
+	now := clock.Now()
+	i := runner.Info{ID: "a", Incarnation: 1, Service: "p", Addr: netip.MustParseAddrPort("127.0.0.1:9"), Capacity: job.Resources{CPU: 4000, Mem: 4000}}
+	at := runner.Target{ID: "a", Addr: i.Addr}
+	tm.state.SetRunner(i, now)
+	tm.state.HandleReport(at, now, now, &runner.Report{Incarnation: 1, Clock: 1000})
+	tm.state.RosterStored(tm.state.Roster(now, false))
+	j := &job.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Service: "p", Steps: []job.Step{{Count: 1, Resources: job.Resources{CPU: 1000, Mem: 1}}}}
+	tm.state.AddJob(j, 100, nil, 0, now, time.Now())
+	plan := func() []sched.Command {
+		now = now.Add(time.Second)
+		tm.state.Plan(now, time.Now())
+		return tm.state.Commands()
+	}
+	starts := plan()
+	if len(starts) != 1 {
+		t.Fatalf("commands %v, want a start", starts)
+	}
+	tm.handleReply(&starts[0], runner.Reply{}, nil)
+	i.Incarnation, i.Addr = 7, netip.MustParseAddrPort("127.0.0.1:10")
+	tm.state.SetRunner(i, now)
+	tm.state.PollFailed("a", now)
+	tm.state.CancelJob(j.ID, now)
+	stops := tm.state.Commands()
+	if len(stops) != 1 || stops[0].To.Addr != i.Addr {
+		t.Fatalf("commands %v, want a stop at the address of the entry", stops)
+	}
+	tm.handleReply(&stops[0], runner.Reply{Verdict: runner.WrongIncarnation}, nil)
+	run := runner.Run{Task: starts[0].Task, Attempt: 1, Percent: 100}
+	tm.state.HandleReport(at, now, now, &runner.Report{Incarnation: 1, Clock: 2000, Running: []runner.Run{run}})
+	if got := plan(); len(got) != 1 || got[0].Kind != sched.StopRun || got[0].To.Addr != at.Addr {
+		t.Errorf("commands %v after the runner replied, want a stop at its own address", got)
+	}
+}
