sched: keep using runners while the outcome of a roster write is unknown

After a roster write without a reply no stored roster is on record, so that all runners lost their open entry at the next report: no starts and no longer leases until a write succeeded, though both rosters had them open.

Only the first reply of an incarnation is compared. TestUnknownRosterClosesRunners failed before ('lease until 1006000, want 1007000', '0 starts, want 1').

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -28,6 +28,9 @@
 // confirm records which incarnation of a runner replied, and where. The reply is
 // the authority on the incarnation: what an entry says of it may be wrong.
 func (s *State) confirm(rs *runnerState, from runner.Target, in runner.Incarnation, sent, now clock.BootTime) {
+	if (!rs.replied || in != rs.Incarnation) && s.storedRoster[rs.ID].Incarnation != in {
+		s.rostered[rs.ID] = false
+	}
 	switch {
 	case in == rs.Incarnation:
 		if rs.announced != nil && sent.After(rs.announcedAt) {
@@ -54,9 +57,6 @@
 		rs.Incarnation, rs.announced = in, nil
 	}
 	rs.confirmedAddr = from.Addr
-	if s.rostered[rs.ID] && s.storedRoster[rs.ID].Incarnation != in {
-		s.rostered[rs.ID] = false
-	}
 	s.indexMachine(rs)
 }
 
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -238,3 +238,27 @@
 		t.Errorf("started on %s: the next incarnation has confirmed no stop", got[0].To.ID)
 	}
 }
+
+// TestUnknownRosterClosesRunners guards against runners that are not used and
+// whose leases expire while it is not known whether a roster has been stored,
+// though both rosters have them open.
+func TestUnknownRosterClosesRunners(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.s.RosterUnknown()
+	f.now += second
+	f.report("a")
+	p, _ := f.s.Poll("a", f.now)
+	if want := f.s.runners["a"].clock.RunnerTime.Add(f.s.Limits.MaxRunnerLease); p.LeaseUntil < want {
+		t.Errorf("lease until %d, want %d", p.LeaseUntil, want)
+	}
+	f.job(1, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts, want 1", len(got))
+	}
+	f.reportOf("a", 2, f.now)
+	f.job(2, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		t.Errorf("%s started on an incarnation that no roster names", got[0].Task)
+	}
+}
