sched: keep the entry of a later incarnation than the one that replied

A late reply of an earlier incarnation than that of the entry dropped the entry, and the runner was polled for ever at the address of the one that had ended: an entry is read again only when it changes.

The entry counts as announced and is polled while the incarnation that replied does not reply. TestReplyDropsLaterEntry failed before for runners that had replied in the term and for those that had not.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -39,7 +39,7 @@
 			rs.announced = nil
 		}
 	case rs.replied || rs.ended:
-		i := rs.Info
+		i, later := rs.Info, rs.entryAfter(in)
 		if rs.announced != nil && rs.announced.Incarnation == in {
 			i = *rs.announced
 		}
@@ -49,17 +49,32 @@
 			s.endIncarnation(rs, restarted, now)
 		}
 		s.renew(rs, i)
+		rs.announced, rs.announcedAt = later, now
 		s.stopUnsettled(rs, unsettled, now)
 	default:
+		later := rs.entryAfter(in)
 		if rs.announced != nil {
 			s.setInfo(rs, *rs.announced)
 		}
-		rs.Incarnation, rs.announced = in, nil
+		rs.Incarnation, rs.announced, rs.announcedAt = in, later, now
 	}
 	rs.confirmedAddr = from.Addr
 	s.indexMachine(rs)
 }
 
+// entryAfter returns the entry of an incarnation later than the given one, or nil.
+// The store returns an entry again only when it has changed.
+func (rs *runnerState) entryAfter(in runner.Incarnation) *runner.Info {
+	i := rs.Info
+	if rs.announced != nil {
+		i = *rs.announced
+	}
+	if i.Incarnation <= in {
+		return nil
+	}
+	return &i
+}
+
 // takeUnsettled removes and returns the runs on a restarted runner whose start the
 // next incarnation may carry out, or has just carried out: it has the same ID,
 // but neither the lease nor the attempts of the previous one. The poll that
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -262,3 +262,38 @@
 		t.Errorf("%s started on an incarnation that no roster names", got[0].Task)
 	}
 }
+
+// polled returns the addresses of the next polls of a runner, which all fail.
+func (f *fixture) polled(id runner.ID) map[netip.AddrPort]bool {
+	addrs := make(map[netip.AddrPort]bool)
+	for range 6 {
+		p, ok := f.s.Poll(id, f.now)
+		if !ok {
+			f.t.Fatalf("runner %s is not polled", id)
+		}
+		addrs[p.To.Addr] = true
+		f.now += second
+		f.s.PollFailed(id, f.now)
+	}
+	return addrs
+}
+
+// TestReplyDropsLaterEntry guards against a runner that is never polled again:
+// the entry of an incarnation was read before a late reply of an earlier one.
+func TestReplyDropsLaterEntry(t *testing.T) {
+	for _, replied := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.s.SetRunner(info("a", "pool"), f.now)
+		if replied {
+			f.report("a")
+		}
+		p, _ := f.s.Poll("a", f.now)
+		i := info("a", "pool")
+		i.Incarnation, i.Addr = 3, netip.MustParseAddrPort("127.0.0.1:10")
+		f.s.SetRunner(i, f.now)
+		f.s.HandleReport(p.To, f.now, f.now+1, &runner.Report{Incarnation: 2, Clock: 1000})
+		if got := f.polled("a"); !got[i.Addr] {
+			t.Errorf("replied before %t: only %v polled, not the address of the entry", replied, got)
+		}
+	}
+}
