sched: a roster without incarnations confirms no address

A roster stored by an earlier version names no incarnation. Since its address was taken for the one where the incarnation of the entry had replied, and had precedence over the entry: a runner that had started again at another address was never reached, and a reply of another runner at the old address would have ended the new incarnation.

Such an address is only used until there is an entry, as before. TestRosterAddressHidesEntry failed before ('only map[127.0.0.1:9:true] polled, not the address of the entry').

--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -297,3 +297,17 @@
 		}
 	}
 }
+
+// TestRosterAddressHidesEntry guards against a runner that is never reached: it
+// started again at another address beside an update from a version whose roster
+// names no incarnation.
+func TestRosterAddressHidesEntry(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr}})
+	i := info("a", "pool")
+	i.Incarnation, i.Addr = 2, netip.MustParseAddrPort("127.0.0.1:10")
+	f.s.SetRunner(i, f.now)
+	if got := f.polled("a"); !got[i.Addr] {
+		t.Errorf("only %v polled, not the address of the entry", got)
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -81,7 +81,7 @@
 			s.runners[e.ID] = rs
 			s.addToPool(rs)
 		}
-		if rs.Incarnation == e.Incarnation || e.Incarnation == 0 {
+		if rs.Incarnation == e.Incarnation && e.Incarnation != 0 {
 			rs.confirmedAddr = e.Addr
 		}
 	}
