sched: end only the incarnation that a maintenance command was sent for

A maintenance command is also accepted if the machine has had it. If the first one had no reply and the runner was back under its ID before the second was accepted, the new incarnation counted as ended: its runs would have been started elsewhere, and its reports were ignored for good. The move command compares the incarnation already.

TestRepeatedMaintenanceEndsNextIncarnation failed before ('0 starts on the runner that has returned, want 1').

--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -89,7 +89,7 @@
 	case machine.Accepted:
 		m.phase, m.since = down, now
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
-		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner {
+		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner && rs.Incarnation == m.incarnation {
 			s.endIncarnation(rs, inUpkeep, now)
 		}
 	case machine.Unknown, machine.WrongWave:
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -183,3 +184,32 @@
 		}
 	}
 }
+
+// TestRepeatedMaintenanceEndsNextIncarnation guards against a runner that is
+// never used again after maintenance: the command was carried out without a
+// reply, and accepted again when the runner had returned under its ID.
+func TestRepeatedMaintenanceEndsNextIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MaintenanceTime = 2 * time.Second
+	f.runner("a")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	for _, replied := range []bool{false, true} {
+		c := f.maintenances()
+		if len(c) != 1 {
+			t.Fatalf("commands %v, want one maintenance", c)
+		}
+		if replied {
+			f.now += 3 * second
+			f.reportOf("a", 2, f.now)
+		}
+		f.s.HandleMachineReply(&c[0], machine.Accepted, replied, f.now)
+	}
+	f.now += second
+	f.reportOf("a", 2, f.now)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.plan()
+	f.job(1, job.Step{Count: 1})
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts on the runner that has returned, want 1", len(got))
+	}
+}
