sched: a machine has returned from maintenance when its runner replies

An entry of a later incarnation counted as the return of a machine from maintenance, and the wave took a further machine. An entry of another writer, which an ended incarnation accepts, made the wave exceed its cap.

The new incarnation must have replied. TestEntryReturnsMachine failed before (maintenance of m-b 'sent while machine m-a is down').

--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -308,7 +308,7 @@
 	case down:
 		if m.incarnation == math.MaxInt64 && s.listedUp(m.id) {
 			m.phase = returned
-		} else if rs != nil && rs.Incarnation > m.incarnation {
+		} else if rs != nil && rs.replied && rs.Incarnation > m.incarnation {
 			m.phase = returned
 			s.Logger.Log("msg", "machine returned from maintenance", "machine", m.id, "wave", m.wave.Number, "runner", rs.ID, "took", now.Sub(m.since))
 		} else if m.runner == "" && now.Sub(m.since) > s.Limits.MaintenanceTime+noRunnerTimeout {
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -213,3 +213,27 @@
 		t.Errorf("%d starts on the runner that has returned, want 1", len(got))
 	}
 }
+
+// TestEntryReturnsMachine guards against a wave that takes a further machine
+// because of an entry of another writer for the runner of one that is down.
+func TestEntryReturnsMachine(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MaintenanceTime = 2 * time.Second
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	c := f.maintenances()
+	if len(c) != 1 {
+		t.Fatalf("commands %v, want one maintenance", c)
+	}
+	f.s.HandleMachineReply(&c[0], machine.Accepted, true, f.now)
+	i := info(runner.ID(c[0].Machine[len("m-"):]), "pool")
+	i.Incarnation = 7
+	f.s.SetRunner(i, f.now)
+	if got := f.maintenances(); len(got) != 0 {
+		t.Errorf("%v sent while machine %s is down", got, c[0].Machine)
+	}
+	f.reportOf(i.ID, 2, f.now)
+	if got := f.maintenances(); len(got) != 1 {
+		t.Errorf("commands %v after the machine has returned, want one maintenance", got)
+	}
+}
