sched, lead: a reply of another runner is no evidence about later starts

Two runners may have the same address one after the other. The reply of the earlier one to a command that was sent before the later one had replied ended the runs of the later one, which were started elsewhere.

A reply of another runner counts only if its command was sent after the last reply of the runner. TestLateReplyAtSameAddress failed without the comparison ('started on b while it runs on another runner').

--- a/internal/lead/command.go
+++ b/internal/lead/command.go
@@ -70,10 +70,11 @@
 	if len(starts) == 0 {
 		return
 	}
+	sent := clock.Now()
 	for i, o := range batcher.StartAll(ctx, commands[0].To, t.id, starts) {
 		c := commands[i]
 		t.logFailure(ctx, &c, o.Err)
-		if t.handleReply(&c, o.Reply, o.Err) {
+		if t.handleReply(&c, sent, o.Reply, o.Err) {
 			t.spawn(func() {
 				clock.Sleep(ctx, commandRetryDelay)
 				t.sendCommand(ctx, c)
@@ -101,6 +102,7 @@
 		}
 		var reply runner.Reply
 		var err error
+		sent := clock.Now()
 		switch c.Kind {
 		case sched.StartRun:
 			reply, err = t.cfg.Runners.Start(ctx, c.To, t.id, start)
@@ -112,20 +114,20 @@
 			return // sendMachineCommand sends these
 		}
 		t.logFailure(ctx, &c, err)
-		if !t.handleReply(&c, reply, err) {
+		if !t.handleReply(&c, sent, reply, err) {
 			return
 		}
 		clock.Sleep(ctx, commandRetryDelay)
 	}
 }
 
-// handleReply handles the outcome of a command and reports whether the command
-// must be sent again.
-func (t *term) handleReply(c *sched.Command, reply runner.Reply, err error) bool {
+// handleReply handles the outcome of a command that was sent at the time sent, and
+// reports whether the command must be sent again.
+func (t *term) handleReply(c *sched.Command, sent clock.BootTime, reply runner.Reply, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := clock.Now()
-	if err == nil && t.handleRejection(c.To, reply, now) && reply.Verdict == runner.Fenced {
+	if err == nil && t.handleRejection(c.To, reply, sent, now) && reply.Verdict == runner.Fenced {
 		return false
 	}
 	again := t.state.HandleReply(c, reply, err == nil, !errors.Is(err, runner.ErrUnreachable), now)
@@ -137,14 +139,14 @@
 
 // handleRejection handles replies that show that the term has ended or that the
 // runner has a new incarnation. It reports whether the reply was one of these.
-func (t *term) handleRejection(to runner.Target, reply runner.Reply, now clock.BootTime) bool {
+func (t *term) handleRejection(to runner.Target, reply runner.Reply, sent, now clock.BootTime) bool {
 	switch reply.Verdict {
 	case runner.Fenced:
 		t.logger.Log("msg", "command fenced by a later term", "runner", to.ID)
 		t.end(errLostLeadership)
 		return true
 	case runner.WrongIncarnation:
-		t.state.RunnerReplaced(to, now)
+		t.state.RunnerReplaced(to, sent, now)
 		t.notify()
 		return true
 	case runner.Accepted, runner.Superseded, runner.Expired, runner.NoCapacity, runner.NoPermit, runner.Unhealthy, runner.Invalid:
--- a/internal/lead/poll.go
+++ b/internal/lead/poll.go
@@ -61,7 +61,7 @@
 		t.mu.Lock()
 		now := clock.Now()
 		switch {
-		case err != nil || (rep == nil && !t.handleRejection(req.To, reply, now)):
+		case err != nil || (rep == nil && !t.handleRejection(req.To, reply, sent, now)):
 			t.state.PollFailed(id, now)
 		case rep != nil:
 			if t.state.HandleReport(req.To, sent, now, rep) {
--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -224,7 +224,7 @@
 	if len(starts) != 1 {
 		t.Fatalf("commands %v, want a start", starts)
 	}
-	tm.handleReply(&starts[0], runner.Reply{}, nil)
+	tm.handleReply(&starts[0], now, runner.Reply{}, nil)
 	i.Incarnation, i.Addr = 7, netip.MustParseAddrPort("127.0.0.1:10")
 	tm.state.SetRunner(i, now)
 	tm.state.PollFailed("a", now)
@@ -233,7 +233,7 @@
 	if len(stops) != 1 || stops[0].To.Addr != i.Addr {
 		t.Fatalf("commands %v, want a stop at the address of the entry", stops)
 	}
-	tm.handleReply(&stops[0], runner.Reply{Verdict: runner.WrongIncarnation}, nil)
+	tm.handleReply(&stops[0], now, runner.Reply{Verdict: runner.WrongIncarnation}, nil)
 	run := runner.Run{Task: starts[0].Task, Attempt: 1, Percent: 100}
 	tm.state.HandleReport(at, now, now, &runner.Report{Incarnation: 1, Clock: 2000, Running: []runner.Run{run}})
 	if got := plan(); len(got) != 1 || got[0].Kind != sched.StopRun || got[0].To.Addr != at.Addr {
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -100,14 +100,14 @@
 	}
 }
 
-// RunnerReplaced records that another runner replied to a command. The runner
-// that the command was meant for has ended if it replied at this address before;
-// otherwise the address was wrong.
-func (s *State) RunnerReplaced(at runner.Target, now clock.BootTime) {
+// RunnerReplaced records that another runner replied to a command that was sent at
+// the time sent. The runner that the command was meant for has ended if it replied
+// at this address before; otherwise the address was wrong.
+func (s *State) RunnerReplaced(at runner.Target, sent, now clock.BootTime) {
 	rs := s.runners[at.ID]
 	switch {
-	case rs == nil:
-		return
+	case rs == nil || !sent.After(rs.lastReply):
+		return // the runner may have started there since
 	case rs.ended:
 	case at.Addr == rs.confirmedAddr:
 		s.Logger.Log("msg", "runner replaced by another at its address", "runner", rs.ID, "addr", at.Addr, "runs", len(rs.runs))
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -12,7 +12,7 @@
 // replaced records that another runner replied at an address to a command for
 // the runner with the given ID.
 func (f *fixture) replaced(id runner.ID, addr netip.AddrPort) {
-	f.s.RunnerReplaced(runner.Target{ID: id, Addr: addr}, f.now)
+	f.s.RunnerReplaced(runner.Target{ID: id, Addr: addr}, f.now+1, f.now+1)
 }
 
 // reportOf lets an incarnation of a runner report the given runs, at the address
@@ -89,6 +89,22 @@
 	f.wantNoStart("after a reply at the address of an earlier incarnation")
 }
 
+// TestLateReplyAtSameAddress guards against a reply of another runner that ends the
+// runs of an incarnation which started at that address later.
+func TestLateReplyAtSameAddress(t *testing.T) {
+	f := newFixture(t, 1)
+	start, _ := f.startOn()
+	sent := f.now
+	f.replaced(start.To.ID, start.To.Addr)
+	i := info(start.To.ID, "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now, runner.Run{Task: start.Task, Attempt: 2, Percent: 100})
+	f.s.RunnerReplaced(start.To, sent, f.now) // the reply to a stop that was sent before
+	f.wantNoStart("after a reply of the runner that had the address before")
+}
+
 // TestStartCarriedOutByNextIncarnation guards against a task that is started
 // elsewhere while the next incarnation of its runner may carry out the start
 // that was meant for the previous one.
--- a/internal/sched/model_restart_test.go
+++ b/internal/sched/model_restart_test.go
@@ -34,17 +34,17 @@
 // for. It may arrive late.
 func (m *model) rejected(l *modelLeader, to runner.Target) {
 	if m.lateReplies && rapid.Bool().Draw(m.t, "late rejection") {
-		m.polls = append(m.polls, &modelPoll{leader: l, poll: Poll{To: to}})
+		m.polls = append(m.polls, &modelPoll{leader: l, poll: Poll{To: to}, sent: m.now})
 		return
 	}
-	m.handleRejection(l, to)
+	m.handleRejection(l, to, m.now.Add(time.Nanosecond))
 }
 
-func (m *model) handleRejection(l *modelLeader, to runner.Target) {
+func (m *model) handleRejection(l *modelLeader, to runner.Target, sent clock.BootTime) {
 	if m.weaken == "address" && l.s.runners[to.ID] != nil {
-		to.Addr = l.s.runners[to.ID].confirmedAddr
+		to.Addr, sent = l.s.runners[to.ID].confirmedAddr, m.now.Add(time.Nanosecond)
 	}
-	l.s.RunnerReplaced(to, m.now)
+	l.s.RunnerReplaced(to, sent, m.now)
 }
 
 func (m *model) pollRunner(l *modelLeader, of *modelRunner, reply string) {
@@ -119,7 +119,7 @@
 	p := m.polls[0]
 	m.polls = m.polls[1:]
 	if p.report == nil {
-		m.handleRejection(p.leader, p.poll.To)
+		m.handleRejection(p.leader, p.poll.To, p.sent)
 		return
 	}
 	m.report(p.leader, p.poll.To, p.sent, p.report)
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -222,7 +222,7 @@
 	}
 
 	replaced := newTerm(300, entries)
-	replaced.s.RunnerReplaced(runner.Target{ID: on, Addr: info(on, "pool").Addr}, replaced.now)
+	replaced.replaced(on, info(on, "pool").Addr)
 	if got := ofKind(replaced.plan(), StartRun); len(got) != 1 {
 		t.Errorf("commands %v, want a start after another runner replied at the address", got)
 	}
