sched: a machine's runner must still be on that machine

The record of a runner is kept when it starts again under its ID. If that was on another machine, the index still gave it as the runner of the previous one: maintenance or a move of that machine drained the runner and ended it, though it goes on elsewhere.

TestMachineOfPreviousIncarnation failed before ('machine m-a has runner a, which is on machine m-x').

--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -149,7 +149,7 @@
 // runnerOf returns the newest runner of a machine, or nil.
 func (s *State) runnerOf(id machine.ID) *runnerState {
 	rs := s.byMachine[id]
-	if rs != nil && s.runners[rs.ID] != rs {
+	if rs != nil && (s.runners[rs.ID] != rs || rs.Machine != string(id)) {
 		delete(s.byMachine, id)
 		return nil
 	}
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -237,3 +237,20 @@
 		t.Errorf("commands %v after the machine has returned, want one maintenance", got)
 	}
 }
+
+// TestMachineOfPreviousIncarnation guards against maintenance of a machine that
+// drains the runner which ran there before it started again on another one.
+func TestMachineOfPreviousIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	i := info("a", "pool")
+	i.Incarnation, i.Machine = 2, "m-x"
+	f.s.SetRunner(i, f.now)
+	f.reportOf("a", 2, f.now)
+	if rs := f.s.runnerOf("m-a"); rs != nil {
+		t.Errorf("machine m-a has runner %s, which is on machine %s", rs.ID, rs.Machine)
+	}
+	if rs := f.s.runnerOf("m-x"); rs == nil {
+		t.Error("machine m-x has no runner")
+	}
+}
