sched: a repeated machine command ends no runs

A machine also accepts a command that it has carried out before. A term that repeated the maintenance of the previous one took this for the end of the runner that was there by now: the run that the machine had started since it returned was started elsewhere. The roster entry of a runner that had not replied in the term was dropped in the same way.

A command is sent to a machine without runs, so that a runner that has some, or may have, is left to its own reports. TestMaintenanceRepeatedByNextTerm failed before ('started on b while it runs on another runner').

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -123,6 +123,18 @@
 	s.removeDeregistered(rs, now)
 }
 
+// endMachineCommand records that the machine of a runner accepted a command that
+// ends all of its processes. It also accepts one that it has carried out before,
+// so that a runner that has runs, or may have some of a previous term, may be a
+// later incarnation.
+func (s *State) endMachineCommand(rs *runnerState, why evidence, now clock.BootTime) {
+	if len(rs.runs) > 0 || s.inherited[rs.ID] != nil {
+		s.Logger.Log("msg", "runner may have started after the machine command", "runner", rs.ID, "why", why, "runs", len(rs.runs))
+		return
+	}
+	s.endIncarnation(rs, why, now)
+}
+
 // endIncarnation records that all runs on a runner ended with its incarnation.
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -90,7 +90,7 @@
 		m.phase, m.since = down, now
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
 		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner && rs.Incarnation == m.incarnation {
-			s.endIncarnation(rs, inUpkeep, now)
+			s.endMachineCommand(rs, inUpkeep, now)
 		}
 	case machine.Unknown, machine.WrongWave:
 		m.phase = returned
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -261,7 +261,7 @@
 	case machine.Accepted:
 		ms.Pool, ms.since = ms.movingTo, now
 		if rs := s.runners[ms.fromRunner]; rs != nil && rs.Incarnation == ms.fromIncarnation {
-			s.endIncarnation(rs, machineMoved, now)
+			s.endMachineCommand(rs, machineMoved, now)
 		}
 		return
 	case machine.Unknown, machine.WrongWave:
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -254,3 +254,25 @@
 		t.Error("machine m-x has no runner")
 	}
 }
+
+// TestMaintenanceRepeatedByNextTerm guards against a second run of a task beside
+// the one on a machine that has returned: the next term repeated the command of
+// the previous one, which the machine accepted as carried out.
+func TestMaintenanceRepeatedByNextTerm(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.IntentsStored(map[machine.ID]Intent{"m-a": {Term: 1, PendingWave: 1}})
+	f.runner("a", "b")
+	id := f.job(1, job.Step{Count: 1})
+	run := runner.Run{Task: job.Task{Job: id}, Attempt: 1, Percent: 100}
+	f.report("a", run)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	c := f.maintenances()
+	if len(c) != 1 {
+		t.Fatalf("commands %v, want one maintenance", c)
+	}
+	f.s.HandleMachineReply(&c[0], machine.Accepted, true, f.now)
+	f.now += second
+	f.report("a", run)
+	f.flush()
+	f.wantNoStart("after a command that the machine had carried out before")
+}
