sched: use a runner again that counted as ended and replies

The reports of an incarnation that counted as ended were ignored for good. The evidence may have concerned another one: a list of machines that was read before a move and arrived after it had the move repeated, and the machine accepted it as carried out. Its live runner was not used again.

A reply to a poll that was sent after the end was recorded shows that the incarnation goes on; its state is read anew. TestRepeatedMoveEndsLiveRunner failed before ('the runner replies and counts as ended').

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -141,7 +141,7 @@
 		s.runLost(r, why.String(), now)
 	}
 	rs.unacked = nil
-	rs.ended, rs.unreachable = true, true
+	rs.ended, rs.unreachable, rs.endedAt = true, true, now
 	delete(s.inherited, rs.ID)
 	if rs.announced != nil {
 		s.renew(rs, *rs.announced)
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -196,3 +196,38 @@
 		}
 	}
 }
+
+// TestRepeatedMoveEndsLiveRunner guards against a runner that is never used again:
+// a list of machines that was read before a move arrived after it, and the
+// machine accepted the repeated move as carried out.
+func TestRepeatedMoveEndsLiveRunner(t *testing.T) {
+	f := newPoolFixture(t)
+	var stale []machine.Machine
+	for _, ms := range f.s.machineStates {
+		stale = append(stale, ms.Machine)
+	}
+	for n := 1; n <= 20; n++ {
+		f.job(n, job.Step{Count: 8})
+	}
+	move := func() bool {
+		to, ok := f.moves()["m-x0"]
+		f.s.HandleMachineReply(&Command{Kind: MoveMachine, Machine: "m-x0", Pool: to}, machine.Accepted, true, f.now)
+		return ok
+	}
+	if !move() {
+		t.Fatal("machine m-x0 does not move")
+	}
+	f.now += 2 * second
+	f.s.SetRunner(info("x0", "pool"), f.now)
+	f.report("x0")
+	f.plan()
+	f.s.SetMachines(stale, f.now)
+	if !move() {
+		t.Fatal("the move is not repeated")
+	}
+	f.now += second
+	f.report("x0")
+	if rs := f.s.runners["x0"]; rs.ended || rs.unreachable {
+		t.Error("the runner replies and counts as ended")
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -174,6 +174,10 @@
 func (s *State) HandleReport(from runner.Target, sent, now clock.BootTime, rep *runner.Report) bool {
 	id := from.ID
 	rs := s.runners[id]
+	if rs != nil && rs.ended && rep.Incarnation == rs.Incarnation && sent.After(rs.endedAt) {
+		s.Logger.Log("msg", "runner that counted as ended replies", "runner", id, "addr", from.Addr, "incarnation", int64(rep.Incarnation))
+		s.renew(rs, rs.Info)
+	}
 	if rs == nil || (rs.replied && rep.Incarnation < rs.Incarnation) || (rs.ended && rep.Incarnation <= rs.Incarnation) {
 		return false
 	}
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -32,6 +32,7 @@
 	registered     bool           // the store has an entry for it
 	deregisteredAt clock.BootTime // when its entry was removed
 	ended          bool           // this incarnation has ended
+	endedAt        clock.BootTime // when that was recorded
 	replied        bool           // it has replied in this term, in this incarnation
 	unreachable    bool           // it did not reply to the last poll
 	clock          clock.Reading
