sched: acknowledge each result once

A poll acknowledged all results of the incarnation again.

Once a poll that acknowledges results has a reply, later ones acknowledge only further results. TestPollAcknowledgesAgain failed before ('poll acknowledges 1 results, want 0'). Polls with further results remain.

--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -203,6 +203,26 @@
 	}
 }
 
+// TestPollAcknowledgesAgain guards against the same where a runner starts again
+// between two polls, so that none fails.
+func TestPollAcknowledgesAgain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.accept([]Command{start})
+	f.end("a", start.Task, 1, runner.Done)
+	f.report("a")
+	f.flush()
+	for _, want := range []int{1, 0} {
+		if p, _ := f.s.Poll("a", f.now); p.Acked != want {
+			t.Errorf("poll acknowledges %d results, want %d", p.Acked, want)
+		}
+		f.results["a"] = nil
+		f.report("a")
+	}
+}
+
 // TestStopOfStartInFlightForgotten guards against a task that is started again
 // while the next incarnation of its runner may carry out its start, which was
 // being stopped on the previous one.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -134,15 +134,20 @@
 // Poll returns the next poll of a runner. If the runner did not reply to the
 // last one, the poll does not extend its lease, so that its runs can be
 // abandoned, and acknowledges nothing: the runner may have started again, with
-// results of the same numbers.
+// results of the same numbers. For the same reason no result is acknowledged
+// again after a reply.
 func (s *State) Poll(id runner.ID, now clock.BootTime) (Poll, bool) {
 	rs := s.runners[id]
 	if rs == nil {
 		return Poll{}, false
 	}
 	p := Poll{To: rs.target()}
+	rs.polledAck = 0
 	if rs.replied && !rs.unreachable {
-		p.Acked = rs.acked
+		if rs.acked > rs.confirmedAck {
+			p.Acked = rs.acked
+		}
+		rs.polledAck = p.Acked
 		p.LeaseUntil = s.lease(rs, now)
 		p.Wait = idlePollWait
 		if len(rs.runs) > 0 {
@@ -189,6 +194,7 @@
 	}
 	first := !rs.replied
 	rs.replied, rs.unreachable, rs.lastReply = true, false, now
+	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
 	seen := make(map[job.Task]bool, len(rep.Running))
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -39,6 +39,8 @@
 	leaseUntil     clock.RunnerTime // latest lease end that any term may have sent
 	applied        int              // highest result applied to the state
 	acked          int              // highest result whose effect is stored
+	polledAck      int              // highest result that the last poll acknowledged
+	confirmedAck   int              // highest result that a poll with a reply acknowledged
 	unacked        []pendingAck
 	// withheld is the first result that must not be acknowledged; the results
 	// after it are not acknowledged either. It is zero if there is none.
