sched: keep the attempts of closed jobs for the next term

A result as done of an attempt whose task was started again is withheld: acknowledged, it would make the later start one after the task was done. The stored progress of a closed job had no attempts, so that the next term acknowledged the result.

TestNextTermAcknowledgesWithheldResult failed before.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -222,16 +222,15 @@
 	return chain, coreSeconds
 }
 
-// progress returns the durable record.
+// progress returns the durable record. That of a closed job keeps the attempts
+// that a later term needs to withhold the results of earlier ones.
 func (js *jobState) progress() *job.Progress {
 	p := &job.Progress{Outcome: js.outcome, Started: js.started}
-	if js.outcome != job.Open {
-		return p
-	}
+	closed := js.outcome != job.Open
 	for _, o := range js.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if !t.done && len(t.failed) == 0 && t.attempt == 0 {
+				if !t.done && len(t.failed) == 0 && t.attempt == 0 || closed && t.attempt <= 1 {
 					continue
 				}
 				r := job.TaskProgress{
--- /dev/null
+++ b/internal/sched/withhold_test.go
@@ -0,0 +1,53 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// TestNextTermAcknowledgesWithheldResult guards against a result as done of an
+// earlier attempt that is acknowledged by the term after the one that started the
+// task again and withheld the result, once the job is closed.
+func TestNextTermAcknowledgesWithheldResult(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	id := f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.accept([]Command{start})
+	a, b := start.To.ID, map[runner.ID]runner.ID{"a": "b", "b": "a"}[start.To.ID]
+	f.report(a, runner.Run{Task: start.Task, Attempt: 1, Percent: 100})
+	f.end(a, start.Task, 1, runner.Done)
+	f.s.PollFailed(a, f.now)
+	var again []Command
+	for range 20 {
+		f.now += second
+		f.report(b)
+		f.s.ConfirmTerm(f.now)
+		f.flush()
+		if again = ofKind(f.plan(), StartRun); len(again) > 0 {
+			break
+		}
+	}
+	if len(again) != 1 || again[0].To.ID != b {
+		t.Fatalf("commands %v, want a start on %s after the lease has expired", again, b)
+	}
+	f.accept(again)
+	f.report(a)
+	rows := f.s.DirtyProgress(100)
+	if len(rows) != 1 || rows[0].Progress.Outcome != job.Completed {
+		t.Fatalf("progress %v, want that of a completed job", rows)
+	}
+
+	next := newFixture(t, 300)
+	next.now, next.results = f.now, f.results
+	j := &job.Job{ID: id, Queue: "work", Service: "pool", Spec: "s", Steps: []job.Step{job1}, Accepted: time.Unix(0, 0)}
+	next.s.AddJob(j, 100, rows[0].Progress, 200, next.now, time.Unix(0, 0))
+	next.runner(a, b)
+	next.flush()
+	if p, _ := next.s.Poll(a, next.now); p.Acked != 0 {
+		t.Errorf("poll acknowledges %d results, want none: the task was started again after its result", p.Acked)
+	}
+}
