sched: a late command may extend the lease of the next incarnation

Lease ends are times on the clock of an incarnation, which starts anew. A start or poll meant for the previous incarnation that the next one carries out late has a lease end far ahead of its clock, and extends its lease to the maximum from then on. The leader counted the lease from its own last command, and started the runs elsewhere while they went on.

The first lease end on record for a runner that started again is two lease times after its first reply: commands are assumed to arrive within one.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -58,7 +58,7 @@
 	s.removeFromPool(rs)
 	registered, at := rs.registered, rs.deregisteredAt
 	*rs = *newRunnerState(i)
-	rs.registered, rs.deregisteredAt = registered, at
+	rs.registered, rs.deregisteredAt, rs.followsAnother = registered, at, true
 	s.addToPool(rs)
 }
 
@@ -209,6 +209,12 @@
 		delete(s.inherited, id)
 		// A previous term may have extended the lease up to its maximum.
 		rs.leaseUntil = rep.Clock.Add(s.Limits.MaxRunnerLease)
+		if rs.followsAnother {
+			// A command to the earlier incarnation may arrive for as long as its own
+			// lease could last, and extend the lease from then on: its lease end is a
+			// later time on the clock of this one.
+			rs.leaseUntil = rs.leaseUntil.Add(s.Limits.MaxRunnerLease)
+		}
 		s.Logger.Log("msg", "runner reached", "runner", id, "service", rs.Service, "runs", len(rs.runs), "ends", len(rep.Results))
 	}
 	rs.acknowledge()
