sched: reserve attempt numbers above unrecorded ones of previous terms

Two terms in a row gave a task the same attempt number if the first had not stored it: both skipped four. If the runner of the first term was unreachable until its lease had expired and had ended the task, its result had the number of the run of the second term, was not withheld by the third, and was acknowledged: the later start came after the task was done.

A number that is stored before its start skips twice as many. TestReservedAttemptRepeats failed before.

--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -39,6 +39,8 @@
 	switch {
 	case t.reserved > 0:
 		return t.reserved
+	case s.mayHaveResult(t) && t.endedAt == 0:
+		return t.attempt + 2*inheritedAttemptGap // above the unrecorded ones of all previous terms
 	case t.job.created < kv.Revision(s.Term) && t.endedAt == 0:
 		return t.attempt + inheritedAttemptGap
 	}
--- a/internal/sched/withhold_test.go
+++ b/internal/sched/withhold_test.go
@@ -51,3 +51,31 @@
 		t.Errorf("poll acknowledges %d results, want none: the task was started again after its result", p.Acked)
 	}
 }
+
+// TestReservedAttemptRepeats guards against the same where the attempt that is
+// started again has the number of an unrecorded one of a previous term.
+func TestReservedAttemptRepeats(t *testing.T) {
+	unrecorded := func(term runner.Term) int {
+		f := newFixture(t, term)
+		f.runner("a")
+		f.job(1, job1)
+		return ofKind(f.plan(), StartRun)[0].Attempt
+	}(200)
+	f := newFixture(t, 300)
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Closed: true, Remaining: time.Second, Tasks: []string{"0000000000000001.0.0.0"}}})
+	f.runner("b")
+	f.job(1, job1)
+	for range 20 {
+		f.now += second
+		f.report("b")
+		f.s.ConfirmTerm(f.now)
+		f.flush()
+		if got := ofKind(f.plan(), StartRun); len(got) > 0 {
+			if got[0].Attempt <= unrecorded {
+				t.Errorf("attempt %d, want one above %d of the previous term", got[0].Attempt, unrecorded)
+			}
+			return
+		}
+	}
+	t.Error("the task is never started again")
+}
