--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -29,6 +29,9 @@
 // confirm records which incarnation of a runner replied, and where. The reply is
 // the authority on the incarnation: what an entry says of it may be wrong.
 func (s *State) confirm(rs *runnerState, from runner.Target, in runner.Incarnation, sent, now clock.BootTime) {
+	if (!rs.replied || in != rs.Incarnation) && s.storedRoster[rs.ID].Incarnation != in {
+		s.rostered[rs.ID] = false
+	}
 	switch {
 	case in == rs.Incarnation:
 		for _, r := range rs.abandoned {
@@ -41,7 +44,7 @@
 			rs.announced = nil
 		}
 	case rs.replied || rs.ended:
-		i := unknownKind(rs.Info)
+		i, later := unknownKind(rs.Info), rs.entryAfter(in)
 		if rs.announced != nil && rs.announced.Incarnation == in {
 			i = *rs.announced
 		}
@@ -54,19 +57,17 @@
 			s.endIncarnation(rs, restarted, now)
 		}
 		s.renew(rs, i)
+		rs.announced, rs.announcedAt = later, now
 		s.stopUnsettled(rs, unsettled, now)
 	default:
-		i := unknownKind(rs.Info)
+		i, later := unknownKind(rs.Info), rs.entryAfter(in)
 		if rs.announced != nil {
 			i = *rs.announced
 		}
 		s.setInfo(rs, i)
-		rs.Incarnation, rs.announced = in, nil
+		rs.Incarnation, rs.announced, rs.announcedAt = in, later, now
 	}
 	rs.confirmedAddr = from.Addr
-	if s.rostered[rs.ID] && s.storedRoster[rs.ID].Incarnation != in {
-		s.rostered[rs.ID] = false
-	}
 	s.indexMachine(rs)
 }
 
@@ -77,6 +78,19 @@
 	return i
 }
 
+// entryAfter returns the entry of an incarnation later than the given one, or nil.
+// The store returns an entry again only when it has changed.
+func (rs *runnerState) entryAfter(in runner.Incarnation) *runner.Info {
+	i := rs.Info
+	if rs.announced != nil {
+		i = *rs.announced
+	}
+	if i.Incarnation <= in {
+		return nil
+	}
+	return &i
+}
+
 // takeUnsettled removes and returns the runs on a restarted runner whose start the
 // next incarnation may carry out, or has just carried out: it has the same ID,
 // but neither the lease nor the attempts of the previous one. The poll that
@@ -84,7 +98,7 @@
 func (s *State) takeUnsettled(rs *runnerState, sent clock.BootTime) []*run {
 	var unsettled []*run
 	for _, r := range runsOf(rs) {
-		if r.startUnknown || r.phase == starting || !sent.After(r.confirmedAt) {
+		if r.startUnknown || r.confirmedAt == 0 || !sent.After(r.confirmedAt) {
 			rs.remove(r)
 			unsettled = append(unsettled, r)
 		}
@@ -102,14 +116,14 @@
 	}
 }
 
-// RunnerReplaced records that another runner replied to a command. The runner
-// that the command was meant for has ended if it replied at this address before;
-// otherwise the address was wrong.
-func (s *State) RunnerReplaced(at runner.Target, now clock.BootTime) {
+// RunnerReplaced records that another runner replied to a command that was sent at
+// the time sent. The runner that the command was meant for has ended if it replied
+// at this address before; otherwise the address was wrong.
+func (s *State) RunnerReplaced(at runner.Target, sent, now clock.BootTime) {
 	rs := s.runners[at.ID]
 	switch {
-	case rs == nil:
-		return
+	case rs == nil || !sent.After(rs.lastReply):
+		return // the runner may have started there since
 	case rs.ended:
 	case at.Addr == rs.confirmedAddr:
 		s.Logger.Log("msg", "runner replaced by another at its address", "runner", rs.ID, "addr", at.Addr, "runs", len(rs.runs))
@@ -126,13 +140,25 @@
 	s.removeDeregistered(rs, now)
 }
 
+// endMachineCommand records that the machine of a runner accepted a command that
+// ends all of its processes. It also accepts one that it has carried out before,
+// so that a runner that has runs, or may have some of a previous term, may be a
+// later incarnation.
+func (s *State) endMachineCommand(rs *runnerState, why evidence, now clock.BootTime) {
+	if len(rs.runs) > 0 || s.inherited[rs.ID] != nil {
+		s.Logger.Log("msg", "runner may have started after the machine command", "runner", rs.ID, "why", why, "runs", len(rs.runs))
+		return
+	}
+	s.endIncarnation(rs, why, now)
+}
+
 // endIncarnation records that all runs on a runner ended with its incarnation.
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
 		s.runLost(r, why.String(), now)
 	}
 	rs.unacked = nil
-	rs.ended, rs.unreachable = true, true
+	rs.ended, rs.unreachable, rs.endedAt = true, true, now
 	delete(s.inherited, rs.ID)
 	if rs.announced != nil {
 		s.renew(rs, *rs.announced)
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -13,7 +13,7 @@
 // replaced records that another runner replied at an address to a command for
 // the runner with the given ID.
 func (f *fixture) replaced(id runner.ID, addr netip.AddrPort) {
-	f.s.RunnerReplaced(runner.Target{ID: id, Addr: addr}, f.now)
+	f.s.RunnerReplaced(runner.Target{ID: id, Addr: addr}, f.now+1, f.now+1)
 }
 
 // reportOf lets an incarnation of a runner report the given runs, at the address
@@ -22,6 +22,14 @@
 	f.s.HandleReport(f.s.runners[id].target(), sent, f.now, &runner.Report{Incarnation: incarnation, Clock: 1000, Running: runs})
 }
 
+// restart lets the next incarnation of a runner write its entry and report.
+func (f *fixture) restart(id runner.ID, incarnation runner.Incarnation) {
+	i := info(id, "pool")
+	i.Incarnation = incarnation
+	f.s.SetRunner(i, f.now)
+	f.reportOf(id, incarnation, f.now)
+}
+
 // startOn starts a task of a new job on one of two runners and lets the runner
 // report its run. It returns the start and the other runner.
 func (f *fixture) startOn() (start Command, other runner.ID) {
@@ -90,6 +98,22 @@
 	f.wantNoStart("after a reply at the address of an earlier incarnation")
 }
 
+// TestLateReplyAtSameAddress guards against a reply of another runner that ends the
+// runs of an incarnation which started at that address later.
+func TestLateReplyAtSameAddress(t *testing.T) {
+	f := newFixture(t, 1)
+	start, _ := f.startOn()
+	sent := f.now
+	f.replaced(start.To.ID, start.To.Addr)
+	i := info(start.To.ID, "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now, runner.Run{Task: start.Task, Attempt: 2, Percent: 100})
+	f.s.RunnerReplaced(start.To, sent, f.now) // the reply to a stop that was sent before
+	f.wantNoStart("after a reply of the runner that had the address before")
+}
+
 // TestStartCarriedOutByNextIncarnation guards against a task that is started
 // elsewhere while the next incarnation of its runner may carry out the start
 // that was meant for the previous one.
@@ -140,10 +164,7 @@
 func TestFormerLeaderUsesNextIncarnation(t *testing.T) {
 	f := newFixture(t, 1)
 	f.runner("a")
-	i := info("a", "pool")
-	i.Incarnation = 2
-	f.s.SetRunner(i, f.now)
-	f.reportOf("a", 2, f.now)
+	f.restart("a", 2)
 	f.job(1, job1)
 	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
 		t.Fatalf("%s started on an incarnation that the stored roster does not name", got[0].Task)
@@ -226,3 +247,148 @@
 		t.Errorf("the result of attempt 1 is acknowledged, although attempt 2 was started after it")
 	}
 }
+
+// TestPollAcknowledgesAgain guards against the same where a runner starts again
+// between two polls, so that none fails.
+func TestPollAcknowledgesAgain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.accept([]Command{start})
+	f.end("a", start.Task, 1, runner.Done)
+	f.report("a")
+	f.flush()
+	for _, want := range []int{1, 0} {
+		if p, _ := f.s.Poll("a", f.now); p.Acked != want {
+			t.Errorf("poll acknowledges %d results, want %d", p.Acked, want)
+		}
+		f.results["a"] = nil
+		f.report("a")
+	}
+}
+
+// TestStopOfStartInFlightForgotten guards against a task that is started again
+// while the next incarnation of its runner may carry out its start, which was
+// being stopped on the previous one.
+func TestStopOfStartInFlightForgotten(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.runner("a", "b")
+		f.job(1, job1)
+		start := ofKind(f.plan(), StartRun)[0]
+		f.s.stop(f.s.findRun(&start), "test")
+		stops := f.s.Commands()
+		if confirmed {
+			f.accept(stops)
+		}
+		f.now += second
+		f.reportOf(start.To.ID, 2, f.now)
+		f.s.RosterStored(f.s.Roster(f.now, false))
+		commands := f.plan()
+		if got := ofKind(commands, StartRun); len(got) != 0 {
+			t.Errorf("stop confirmed %t: started on %s before the start on %s was stopped", confirmed, got[0].To.ID, start.To.ID)
+		}
+		if got := ofKind(commands, StopRun); len(got) != 1 {
+			t.Errorf("stop confirmed %t: %d stops at the next incarnation, want 1", confirmed, len(got))
+		}
+	}
+}
+
+// TestStopReplyOfPreviousIncarnation guards against a reply to a stop on the
+// previous incarnation that counts as the stop of a start which the next one may
+// carry out.
+func TestStopReplyOfPreviousIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.s.HandleReply(&start, runner.Reply{}, false, true, f.now)
+	f.s.stop(f.s.findRun(&start), "test")
+	stops := f.s.Commands()
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	if _, needed := f.s.Prepare(&stops[0], f.now); needed {
+		t.Error("the stop on the previous incarnation is repeated")
+	}
+	f.accept(stops)
+	f.now += second
+	f.reportOf(start.To.ID, 2, f.now)
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		t.Errorf("started on %s: the next incarnation has confirmed no stop", got[0].To.ID)
+	}
+}
+
+// TestUnknownRosterClosesRunners guards against runners that are not used and
+// whose leases expire while it is not known whether a roster has been stored,
+// though both rosters have them open.
+func TestUnknownRosterClosesRunners(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.s.RosterUnknown()
+	f.now += second
+	f.report("a")
+	p, _ := f.s.Poll("a", f.now)
+	if want := f.s.runners["a"].clock.RunnerTime.Add(f.s.Limits.MaxRunnerLease); p.LeaseUntil < want {
+		t.Errorf("lease until %d, want %d", p.LeaseUntil, want)
+	}
+	f.job(1, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts, want 1", len(got))
+	}
+	f.reportOf("a", 2, f.now)
+	f.job(2, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 0 {
+		t.Errorf("%s started on an incarnation that no roster names", got[0].Task)
+	}
+}
+
+// polled returns the addresses of the next polls of a runner, which all fail.
+func (f *fixture) polled(id runner.ID) map[netip.AddrPort]bool {
+	addrs := make(map[netip.AddrPort]bool)
+	for range 6 {
+		p, ok := f.s.Poll(id, f.now)
+		if !ok {
+			f.t.Fatalf("runner %s is not polled", id)
+		}
+		addrs[p.To.Addr] = true
+		f.now += second
+		f.s.PollFailed(id, f.now)
+	}
+	return addrs
+}
+
+// TestReplyDropsLaterEntry guards against a runner that is never polled again:
+// the entry of an incarnation was read before a late reply of an earlier one.
+func TestReplyDropsLaterEntry(t *testing.T) {
+	for _, replied := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.s.SetRunner(info("a", "pool"), f.now)
+		if replied {
+			f.report("a")
+		}
+		p, _ := f.s.Poll("a", f.now)
+		i := info("a", "pool")
+		i.Incarnation, i.Addr = 3, netip.MustParseAddrPort("127.0.0.1:10")
+		f.s.SetRunner(i, f.now)
+		f.s.HandleReport(p.To, f.now, f.now+1, &runner.Report{Incarnation: 2, Clock: 1000})
+		if got := f.polled("a"); !got[i.Addr] {
+			t.Errorf("replied before %t: only %v polled, not the address of the entry", replied, got)
+		}
+	}
+}
+
+// TestRosterAddressHidesEntry guards against a runner that is never reached: it
+// started again at another address beside an update from a version whose roster
+// names no incarnation.
+func TestRosterAddressHidesEntry(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr}})
+	i := info("a", "pool")
+	i.Incarnation, i.Addr = 2, netip.MustParseAddrPort("127.0.0.1:10")
+	f.s.SetRunner(i, f.now)
+	if got := f.polled("a"); !got[i.Addr] {
+		t.Errorf("only %v polled, not the address of the entry", got)
+	}
+}
--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -89,8 +89,8 @@
 	case machine.Accepted:
 		m.phase, m.since = down, now
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
-		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner {
-			s.endIncarnation(rs, inUpkeep, now)
+		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner && rs.Incarnation == m.incarnation {
+			s.endMachineCommand(rs, inUpkeep, now)
 		}
 	case machine.Unknown, machine.WrongWave:
 		m.phase = returned
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -59,7 +59,7 @@
 	s.removeFromPool(rs)
 	registered, at := rs.registered, rs.deregisteredAt
 	*rs = *newRunnerState(i)
-	rs.registered, rs.deregisteredAt = registered, at
+	rs.registered, rs.deregisteredAt, rs.followsAnother = registered, at, true
 	s.addToPool(rs)
 }
 
@@ -135,15 +135,20 @@
 // Poll returns the next poll of a runner. If the runner did not reply to the
 // last one, the poll does not extend its lease, so that its runs can be
 // abandoned, and acknowledges nothing: the runner may have started again, with
-// results of the same numbers.
+// results of the same numbers. For the same reason no result is acknowledged
+// again after a reply.
 func (s *State) Poll(id runner.ID, now clock.BootTime) (Poll, bool) {
 	rs := s.runners[id]
 	if rs == nil {
 		return Poll{}, false
 	}
 	p := Poll{To: rs.target()}
+	rs.polledAck = 0
 	if rs.replied && !rs.unreachable {
-		p.Acked = rs.acked
+		if rs.acked > rs.confirmedAck {
+			p.Acked = rs.acked
+		}
+		rs.polledAck = p.Acked
 		p.LeaseUntil = s.lease(rs, now)
 		p.Wait = idlePollWait
 		if len(rs.runs) > 0 {
@@ -175,6 +180,10 @@
 func (s *State) HandleReport(from runner.Target, sent, now clock.BootTime, rep *runner.Report) bool {
 	id := from.ID
 	rs := s.runners[id]
+	if rs != nil && rs.ended && rep.Incarnation == rs.Incarnation && sent.After(rs.endedAt) {
+		s.Logger.Log("msg", "runner that counted as ended replies", "runner", id, "addr", from.Addr, "incarnation", int64(rep.Incarnation))
+		s.renew(rs, rs.Info)
+	}
 	if rs == nil || (rs.replied && rep.Incarnation < rs.Incarnation) || (rs.ended && rep.Incarnation <= rs.Incarnation) {
 		return false
 	}
@@ -186,6 +195,7 @@
 	}
 	first := !rs.replied
 	rs.replied, rs.unreachable, rs.lastReply = true, false, now
+	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
 	seen := make(map[job.Task]bool, len(rep.Running))
@@ -200,6 +210,12 @@
 		delete(s.inherited, id)
 		// A previous term may have extended the lease up to its maximum.
 		rs.leaseUntil = rep.Clock.Add(s.Limits.MaxRunnerLease)
+		if rs.followsAnother {
+			// A command to the earlier incarnation may arrive for as long as its own
+			// lease could last, and extend the lease from then on: its lease end is a
+			// later time on the clock of this one.
+			rs.leaseUntil = rs.leaseUntil.Add(s.Limits.MaxRunnerLease)
+		}
 		s.Logger.Log("msg", "runner reached", "runner", id, "service", rs.Service, "runs", len(rs.runs), "ends", len(rep.Results))
 	}
 	rs.acknowledge()
@@ -249,13 +265,13 @@
 	}
 	if t == nil {
 		s.Logger.Log("msg", "run of unknown task found", "runner", rs.ID, "task", reported.Task)
-		s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt})
+		s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt, incarnation: rs.Incarnation})
 		return nil
 	}
 	if old := rs.runs[reported.Task]; old != nil {
 		if old.attempt > reported.Attempt {
 			// The stop of the older run is in flight.
-			s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt})
+			s.commands = append(s.commands, Command{Kind: StopRun, To: rs.target(), Task: reported.Task, Attempt: reported.Attempt, incarnation: rs.Incarnation})
 			return nil
 		}
 		rs.remove(old)
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -32,12 +32,16 @@
 	registered     bool           // the store has an entry for it
 	deregisteredAt clock.BootTime // when its entry was removed
 	ended          bool           // this incarnation has ended
+	endedAt        clock.BootTime // when that was recorded
 	replied        bool           // it has replied in this term, in this incarnation
 	unreachable    bool           // it did not reply to the last poll
+	followsAnother bool           // an earlier incarnation had the ID in this term
 	clock          clock.Reading
 	leaseUntil     clock.RunnerTime // latest lease end that any term may have sent
 	applied        int              // highest result applied to the state
 	acked          int              // highest result whose effect is stored
+	polledAck      int              // highest result that the last poll acknowledged
+	confirmedAck   int              // highest result that a poll with a reply acknowledged
 	unacked        []pendingAck
 	// withheld is the first result that must not be acknowledged; the results
 	// after it are not acknowledged either. It is zero if there is none.
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -149,7 +149,7 @@
 // runnerOf returns the newest runner of a machine, or nil.
 func (s *State) runnerOf(id machine.ID) *runnerState {
 	rs := s.byMachine[id]
-	if rs != nil && s.runners[rs.ID] != rs {
+	if rs != nil && (s.runners[rs.ID] != rs || rs.Machine != string(id)) {
 		delete(s.byMachine, id)
 		return nil
 	}
@@ -308,7 +308,7 @@
 	case down:
 		if m.incarnation == math.MaxInt64 && s.listedUp(m.id) {
 			m.phase = returned
-		} else if rs != nil && rs.Incarnation > m.incarnation {
+		} else if rs != nil && rs.replied && rs.Incarnation > m.incarnation {
 			m.phase = returned
 			s.Logger.Log("msg", "machine returned from maintenance", "machine", m.id, "wave", m.wave.Number, "runner", rs.ID, "took", now.Sub(m.since))
 		} else if m.runner == "" && now.Sub(m.since) > s.Limits.MaintenanceTime+noRunnerTimeout {
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -183,3 +184,95 @@
 		}
 	}
 }
+
+// TestRepeatedMaintenanceEndsNextIncarnation guards against a runner that is
+// never used again after maintenance: the command was carried out without a
+// reply, and accepted again when the runner had returned under its ID.
+func TestRepeatedMaintenanceEndsNextIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MaintenanceTime = 2 * time.Second
+	f.runner("a")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	for _, replied := range []bool{false, true} {
+		c := f.maintenances()
+		if len(c) != 1 {
+			t.Fatalf("commands %v, want one maintenance", c)
+		}
+		if replied {
+			f.now += 3 * second
+			f.reportOf("a", 2, f.now)
+		}
+		f.s.HandleMachineReply(&c[0], machine.Accepted, replied, f.now)
+	}
+	f.now += second
+	f.restart("a", 2)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.plan()
+	f.job(1, job.Step{Count: 1})
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts on the runner that has returned, want 1", len(got))
+	}
+}
+
+// TestEntryReturnsMachine guards against a wave that takes a further machine
+// because of an entry of another writer for the runner of one that is down.
+func TestEntryReturnsMachine(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MaintenanceTime = 2 * time.Second
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	c := f.maintenances()
+	if len(c) != 1 {
+		t.Fatalf("commands %v, want one maintenance", c)
+	}
+	f.s.HandleMachineReply(&c[0], machine.Accepted, true, f.now)
+	i := info(runner.ID(c[0].Machine[len("m-"):]), "pool")
+	i.Incarnation = 7
+	f.s.SetRunner(i, f.now)
+	if got := f.maintenances(); len(got) != 0 {
+		t.Errorf("%v sent while machine %s is down", got, c[0].Machine)
+	}
+	f.reportOf(i.ID, 2, f.now)
+	if got := f.maintenances(); len(got) != 1 {
+		t.Errorf("commands %v after the machine has returned, want one maintenance", got)
+	}
+}
+
+// TestMachineOfPreviousIncarnation guards against maintenance of a machine that
+// drains the runner which ran there before it started again on another one.
+func TestMachineOfPreviousIncarnation(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	i := info("a", "pool")
+	i.Incarnation, i.Machine = 2, "m-x"
+	f.s.SetRunner(i, f.now)
+	f.reportOf("a", 2, f.now)
+	if rs := f.s.runnerOf("m-a"); rs != nil {
+		t.Errorf("machine m-a has runner %s, which is on machine %s", rs.ID, rs.Machine)
+	}
+	if rs := f.s.runnerOf("m-x"); rs == nil {
+		t.Error("machine m-x has no runner")
+	}
+}
+
+// TestMaintenanceRepeatedByNextTerm guards against a second run of a task beside
+// the one on a machine that has returned: the next term repeated the command of
+// the previous one, which the machine accepted as carried out.
+func TestMaintenanceRepeatedByNextTerm(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.IntentsStored(map[machine.ID]Intent{"m-a": {Term: 1, PendingWave: 1}})
+	f.runner("a", "b")
+	id := f.job(1, job.Step{Count: 1})
+	run := runner.Run{Task: job.Task{Job: id}, Attempt: 1, Percent: 100}
+	f.report("a", run)
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	c := f.maintenances()
+	if len(c) != 1 {
+		t.Fatalf("commands %v, want one maintenance", c)
+	}
+	f.s.HandleMachineReply(&c[0], machine.Accepted, true, f.now)
+	f.now += second
+	f.report("a", run)
+	f.flush()
+	f.wantNoStart("after a command that the machine had carried out before")
+}
