sched: use a runner that started again with a lower start time

The time of day may jump, so a runner that starts again under its id may have one; it was never used again, and counted as reachable.

A report with a lower start time is accepted if its poll was sent after the last reply, or after the end, of the other incarnation.

TestLowerStartTimeIgnored failed before: '0 starts on the runner that started again, want 1'.

--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -392,3 +392,25 @@
 		t.Errorf("only %v polled, not the address of the entry", got)
 	}
 }
+
+// TestLowerStartTimeIgnored guards against a runner that is never used again
+// because its clock was set back before it started again.
+func TestLowerStartTimeIgnored(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.restart("a", 5)
+	f.now += second
+	f.s.PollFailed("a", f.now)
+	f.restart("a", 3)
+	f.restart("a", 3)
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.job(1, job1)
+	if got := ofKind(f.plan(), StartRun); len(got) != 1 {
+		t.Errorf("%d starts on the runner that started again, want 1", len(got))
+	}
+	f.now += second
+	f.s.HandleReport(f.s.runners["a"].target(), f.now-2*second, f.now, &runner.Report{Incarnation: 2, Clock: 1000})
+	if got := f.s.runners["a"].Incarnation; got != 3 {
+		t.Errorf("incarnation %d after a late reply of an earlier one, want 3", got)
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -184,7 +184,9 @@
 		s.Logger.Log("msg", "runner that counted as ended replies", "runner", id, "addr", from.Addr, "incarnation", int64(rep.Incarnation))
 		s.renew(rs, rs.Info)
 	}
-	if rs == nil || (rs.replied && rep.Incarnation < rs.Incarnation) || (rs.ended && rep.Incarnation <= rs.Incarnation) {
+	// A runner whose clock was set back before it started again has a lower start
+	// time; the late reply of an earlier incarnation is told by its poll.
+	if rs == nil || (rs.replied && rep.Incarnation < rs.Incarnation && !sent.After(rs.lastReply)) || (rs.ended && rep.Incarnation <= rs.Incarnation && !sent.After(rs.endedAt)) {
 		return false
 	}
 	changed := !rs.replied || rs.unreachable || rep.Incarnation != rs.Incarnation
