sched: start suspects behind a task of their step that fits nowhere

A step whose first waiting task fits on no runner was left at once, so that a suspect after it was never started, although a runner was isolated for it. The isolation timed out and was renewed in the same pass: half of a pool of two runners stayed empty, and the job had nothing running.

The scan goes on for the suspects of the job; it still ends at once for a job without any.

TestSuspectBehindWaitingTask fails before ('the suspect has no run' after 200 passes) and passes now; go test ./internal/sched ./internal/crash passes.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -38,19 +38,21 @@
 	started := false
 	var last *runnerState
 	var group scheduled
+	full := false // no runner fits the tasks that are not suspects
 	for _, t := range st.tasks {
-		if !s.startable(t, now) {
+		if full && !t.crashes.Suspect || !s.startable(t, now) {
 			continue
 		}
 		rs := last
 		if rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now) {
 			rs = s.choose(runners, t, now)
 		}
-		if rs == nil && t.crashes.Suspect {
-			continue // it waits for an isolated runner
+		if rs == nil && !t.crashes.Suspect && !s.suspected[t.job] {
+			break // the other tasks of the step have the same demand
 		}
 		if rs == nil {
-			break // the other tasks of the step have the same demand
+			full = full || !t.crashes.Suspect // suspects wait for an isolated runner
+			continue
 		}
 		last = nil
 		if !st.spec.LongRunning && len(t.avoid) == 0 {
