sched: isolate only runners on which the suspect may be started

The choice of the runner to isolate repeated some of the conditions of a start and left out others: the limit of the step for each runner, and a runner that is probed after a quarantine. Such a runner, if it had the fewest runs, was isolated again and again, and the suspect was never started.

Both now use one function. TestIsolatedRunnerNotAllowed fails before ('the suspect has no run' after 200 passes) and passes now; go test ./internal/sched ./internal/crash passes.

--- a/internal/sched/isolation_test.go
+++ b/internal/sched/isolation_test.go
@@ -5,6 +5,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // suspect makes a task a suspect of one crash, and stores that.
@@ -29,3 +30,19 @@
 		t.Error("the suspect has no run")
 	}
 }
+
+// TestIsolatedRunnerNotAllowed guards against a runner that is isolated again and
+// again for a suspect that may not be started there.
+func TestIsolatedRunnerNotAllowed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	id := f.job(1, job.Step{Count: 2, LongRunning: true, PerRunner: 1})
+	other := f.job(2, job.Step{Count: 2, LongRunning: true})
+	x := f.suspect(job.Task{Job: id, Index: 1})
+	f.report("a", runner.Run{Task: job.Task{Job: id}, Attempt: 1, Percent: 100})
+	f.report("b", runner.Run{Task: job.Task{Job: other}, Attempt: 1, Percent: 100}, runner.Run{Task: job.Task{Job: other, Index: 1}, Attempt: 1, Percent: 100})
+	f.settle(200)
+	if !x.live() {
+		t.Error("the suspect has no run")
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -121,8 +121,13 @@
 
 // allowed reports whether a task may run on a runner.
 func (s *State) allowed(rs *runnerState, t *task, now clock.BootTime) bool {
+	return s.eligible(rs, t, now) && s.isolationAllows(rs, t)
+}
+
+// eligible reports whether a task may run on a runner, apart from isolation.
+func (s *State) eligible(rs *runnerState, t *task, now clock.BootTime) bool {
 	sp := t.step.spec
-	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) || !s.isolationAllows(rs, t) {
+	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) {
 		return false
 	}
 	if rs.runs[t.name] != nil || !sp.LongRunning && rs.heldUntil.After(now) {
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -251,11 +251,9 @@
 	if t == nil || js.storedVersion < t.reservedVersion {
 		return nil // nor would the runner do any work while the store is down
 	}
-	sp := t.step.spec
 	var best *runnerState
 	for _, rs := range runners {
-		if rs.isolated != nil || !s.usable(rs, now) || !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) ||
-			rs.health.quarantinedUntil.After(now) || !sp.LongRunning && rs.heldUntil.After(now) || !s.permitted(rs, t.step, now) {
+		if rs.isolated != nil || !s.eligible(rs, t, now) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
