sched: choose an isolated runner for suspects that can be started

Only the first waiting suspect of a job was considered for an isolated runner. If that one fitted nowhere, for example by its label, the other suspects of the job were never started. If it waited for its time, or for the runs of a previous term to be known, a runner was kept empty for it.

The first suspect of each step that could be started is now considered. TestSuspectBehindUnplaceable and TestRunnerIsolatedTooEarly fail before ('the suspect has no run', 'the runner is isolated') and pass now; go test ./internal/sched ./internal/crash passes.

--- a/internal/sched/isolation_test.go
+++ b/internal/sched/isolation_test.go
@@ -46,3 +46,30 @@
 		t.Error("the suspect has no run")
 	}
 }
+
+// TestSuspectBehindUnplaceable guards against a suspect that waits for a runner
+// while another suspect of its job fits nowhere.
+func TestSuspectBehindUnplaceable(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	id := f.job(1, job.Step{Label: "gpu"}, job.Step{})
+	f.suspect(job.Task{Job: id})
+	x := f.suspect(job.Task{Job: id, Step: 1})
+	f.settle(200)
+	if !x.live() {
+		t.Error("the suspect has no run")
+	}
+}
+
+// TestRunnerIsolatedTooEarly guards against a runner that is isolated for a
+// suspect which must not be started yet.
+func TestRunnerIsolatedTooEarly(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	x := f.suspect(job.Task{Job: f.job(1, job.Step{})})
+	x.notBefore = f.now + 2*second
+	f.settle(5)
+	if rs := f.s.runners["a"]; rs.isolated != nil {
+		t.Error("the runner is isolated")
+	}
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -247,34 +247,41 @@
 // chooseIsolated returns the runner on which a crash would end the fewest runs, or
 // nil.
 func (s *State) chooseIsolated(runners []*runnerState, js *jobState, now clock.BootTime) *runnerState {
-	t := js.firstWaiting()
-	if t == nil || js.storedVersion < t.reservedVersion {
-		return nil // nor would the runner do any work while the store is down
-	}
-	var best *runnerState
-	for _, rs := range runners {
-		if rs.isolated != nil || !s.eligible(rs, t, now) {
-			continue
+	for _, t := range s.startableSuspects(js, now) {
+		if js.storedVersion < t.reservedVersion {
+			continue // nor would the runner do any work while the store is down
+		}
+		var best *runnerState
+		for _, rs := range runners {
+			if rs.isolated != nil || !s.eligible(rs, t, now) {
+				continue
+			}
+			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
+				best = rs
+			}
 		}
-		if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
-			best = rs
+		if best != nil {
+			return best
 		}
 	}
-	return best
+	return nil
 }
 
-// firstWaiting returns the first suspect without a run, or nil.
-func (js *jobState) firstWaiting() *task {
+// startableSuspects returns the first suspect of each step that could be started on
+// an isolated runner. The other suspects of the step have the same demand.
+func (s *State) startableSuspects(js *jobState, now clock.BootTime) []*task {
+	var ts []*task
 	for _, o := range js.occs {
 		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				if !t.done && t.crashes.Suspect && !t.live() && !st.spec.Gang {
-					return t
-				}
+			if st.spec.Gang || st.idle == 0 || !o.ready(st) {
+				continue
+			}
+			if i := slices.IndexFunc(st.tasks, func(t *task) bool { return t.crashes.Suspect && s.startable(t, now) }); i >= 0 {
+				ts = append(ts, st.tasks[i])
 			}
 		}
 	}
-	return nil
+	return ts
 }
 
 // inheritCrashes restores what a previous term stored of a task's crashes.
