sched: do not blame a suspect for starts that its runners never received

A start that could not be sent was left out when its runner crashed, but not if the lease of the runner had expired before: then the crash was charged to it, and the job of a suspect failed after one crash under it. In both cases the start stayed counted as one without a known end; two of them fail the job too.

Such a run is no longer kept as abandoned, and its start is resolved when the run is lost. TestUnsentStartBlamed fails before ('record {Crashes:1 Suspect:true Unresolved:1}' and '{Crashes:2 ...}, outcome failed') and passes now; go test ./internal/sched ./internal/crash passes.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -155,6 +155,9 @@
 // endIncarnation records that all runs on a runner ended with its incarnation.
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
+		if !r.mayHaveBegun() {
+			s.startResolved(r.task)
+		}
 		s.runLost(r, why.String(), now)
 	}
 	rs.unacked = nil
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -137,7 +137,11 @@
 			for _, r := range runsOf(rs) {
 				s.runLost(r, "lease expired", now)
 				r.task.possibleResult = true
-				rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
+				if r.mayHaveBegun() {
+					rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
+				} else {
+					s.startResolved(r.task)
+				}
 				if !r.task.step.spec.LongRunning {
 					r.task.notBefore = now.Add(returnGrace)
 				}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -33,8 +33,8 @@
 		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt})
 	}
 	for _, r := range runsOf(rs) {
-		if r.confirmedAt != 0 || r.startUnknown || r.sending {
-			add(r.task, r.confirmedAt) // otherwise its start was certainly not received
+		if r.mayHaveBegun() {
+			add(r.task, r.confirmedAt)
 		}
 	}
 	for _, r := range rs.abandoned {
@@ -65,6 +65,9 @@
 	}
 }
 
+// mayHaveBegun reports whether the runner may have received a start of a run.
+func (r *run) mayHaveBegun() bool { return r.confirmedAt != 0 || r.startUnknown || r.sending }
+
 // firstJob returns the least ID, which stands for all in a log line.
 func firstJob(jobs map[job.ID]bool) job.ID {
 	var first job.ID
