sched: do not blame a task for a crash before the stop of its earlier run

When a runner restarts, the runs whose start the next incarnation could still carry out are stopped there. If that incarnation crashed too before it had confirmed the stops, these runs counted as just started on it: the job of a task that had been started once failed after the second crash of the runner.

Such a run counts only once the runner has reported it. TestRunnerCrashesTwice fails before ('2 crashes, outcome failed') and passes now; go test ./internal/sched ./internal/crash passes.

--- a/internal/sched/blame_test.go
+++ b/internal/sched/blame_test.go
@@ -38,3 +38,20 @@
 		}
 	}
 }
+
+// TestRunnerCrashesTwice guards against a job that fails because its runner
+// crashes again before it has confirmed the stop of the earlier run.
+func TestRunnerCrashesTwice(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{})
+	starts := ofKind(f.plan(), StartRun)
+	f.s.HandleReply(&starts[0], runner.Reply{}, false, true, f.now)
+	f.now += second
+	f.restart("a", 2)
+	f.now += second
+	f.restart("a", 3)
+	if c := f.s.jobs[id].occs[0].steps[0].tasks[0].crashes.Crashes; c != 1 || f.outcome(id) != job.Open {
+		t.Errorf("%d crashes, outcome %v, want 1, open", c, f.outcome(id))
+	}
+}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -110,7 +110,7 @@
 // started on. It rejects their starts once it has confirmed the stops.
 func (s *State) stopUnsettled(rs *runnerState, runs []*run, now clock.BootTime) {
 	for _, old := range runs {
-		r := &run{task: old.task, attempt: old.attempt, runner: rs, demand: old.demand, scheduledAt: now, throttle: 100, startUnknown: true}
+		r := &run{task: old.task, attempt: old.attempt, runner: rs, demand: old.demand, scheduledAt: now, throttle: 100, startUnknown: true, unsettled: true}
 		rs.add(r)
 		s.stop(r, restarted.String())
 	}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -38,6 +38,7 @@
 	// startUnknown is set if a start had no reply, so that it may still be
 	// carried out even if a repeated one is rejected.
 	startUnknown bool
+	unsettled    bool           // started on the previous incarnation of the runner
 	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
 	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
 	sending      bool           // a start or stop of the run is queued or in flight
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -65,8 +65,12 @@
 	}
 }
 
-// mayHaveBegun reports whether the runner may have received a start of a run.
-func (r *run) mayHaveBegun() bool { return r.confirmedAt != 0 || r.startUnknown || r.sending }
+// mayHaveBegun reports whether this incarnation of the runner may have received a
+// start of a run. One that was sent to the previous incarnation is disregarded
+// until the runner reports the run.
+func (r *run) mayHaveBegun() bool {
+	return r.confirmedAt != 0 || !r.unsettled && (r.startUnknown || r.sending)
+}
 
 // firstJob returns the least ID, which stands for all in a log line.
 func firstJob(jobs map[job.ID]bool) job.ID {
