sched: suspect tasks whose runner is removed before a crash is known

A runner whose entry and lease have both expired is removed, and with it the record of the runs that were abandoned there. If it had crashed under a task and came back later, under the same ID or another one, the crash was not counted: the task was started on runner after runner without limit.

The tasks that had just been started there become suspects. No crash is counted, as the runner may only be cut off, but the starts of a suspect are. A runner that was drained is left out.

--- a/internal/sched/blame_test.go
+++ b/internal/sched/blame_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
@@ -55,3 +56,60 @@
 		t.Errorf("%d crashes, outcome %v, want 1, open", c, f.outcome(id))
 	}
 }
+
+// TestRunnerRemovedBeforeCrashKnown guards against a task that is started without
+// limit because the entry and the lease of each runner that it crashes have expired
+// when the runner comes back.
+func TestRunnerRemovedBeforeCrashKnown(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{})
+	starts := 0
+	for n := 0; f.outcome(id) == job.Open; {
+		if n++; n > 1000 {
+			t.Fatalf("%d starts, and the job is open", starts)
+		}
+		for other, rs := range f.s.runners {
+			if !rs.unreachable {
+				f.report(other)
+			}
+		}
+		for _, c := range ofKind(f.plan(), StartRun) {
+			starts++
+			f.loseReply(c)
+			f.s.PollFailed(c.To.ID, f.now)
+			f.s.DeregisterRunner(c.To.ID, f.now)
+			f.now += 8 * second
+			f.plan()
+			f.now += second
+			f.s.ConfirmTerm(f.now)
+			f.plan()
+			f.runner(runner.ID(fmt.Sprint("b", starts)))
+		}
+	}
+	if starts > 5 {
+		t.Errorf("%d starts, want at most two after the third crash", starts)
+	}
+}
+
+// TestRunnerRemovedOnOrderBlamed guards against a task that is suspected because
+// its runner was drained and removed.
+func TestRunnerRemovedOnOrderBlamed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{})
+	f.accept(f.plan())
+	i := info("a", "pool")
+	i.Draining = true
+	f.s.SetRunner(i, f.now)
+	f.s.PollFailed("a", f.now)
+	f.s.DeregisterRunner("a", f.now)
+	f.now += 8 * second
+	f.plan()
+	f.now += second
+	f.s.ConfirmTerm(f.now)
+	f.plan()
+	if c := f.s.jobs[id].task(job.Task{Job: id}).crashes; c != (crash.Record{}) || f.s.runners["a"] != nil {
+		t.Errorf("record %+v, runner known %t, want none", c, f.s.runners["a"] != nil)
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -102,6 +102,7 @@
 	if rs.replied && !rs.unreachable && !rs.ended && !rs.leaseExpired(now) {
 		return
 	}
+	s.suspectAbandoned(rs)
 	delete(s.runners, rs.ID)
 	s.removeFromPool(rs)
 }
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -83,6 +83,28 @@
 	return first
 }
 
+// suspectAbandoned suspects the tasks that had just been started on a runner which
+// is removed, so that a crash of it will not be known. It is not a crash that
+// counts, because the runner may only be cut off.
+func (s *State) suspectAbandoned(rs *runnerState) {
+	if rs.ended || rs.Draining || rs.cordoned {
+		return
+	}
+	n := 0
+	for _, a := range rs.abandoned {
+		t, c := a.task, a.task.crashes
+		if t.done || !t.job.open() || c.Suspect || !crash.IsFresh(a.confirmedAt, rs.lastReply) {
+			continue
+		}
+		c.Suspect = true
+		s.setCrashes(t, c)
+		n++
+	}
+	if n > 0 {
+		s.Logger.Log("msg", "tasks suspected, their runner is removed", "runner", rs.ID, "service", rs.Service, "tasks", n)
+	}
+}
+
 // giveUp ends the job of a task that crashes its runners.
 func (s *State) giveUp(t *task, now clock.BootTime) {
 	if t.job.open() {
