--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -33,8 +33,8 @@
 		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt})
 	}
 	for _, r := range runsOf(rs) {
-		if r.confirmedAt != 0 || r.startUnknown || r.sending {
-			add(r.task, r.confirmedAt) // otherwise its start was certainly not received
+		if r.mayHaveBegun() {
+			add(r.task, r.confirmedAt)
 		}
 	}
 	for _, r := range rs.abandoned {
@@ -65,6 +65,13 @@
 	}
 }
 
+// mayHaveBegun reports whether this incarnation of the runner may have received a
+// start of a run. One that was sent to the previous incarnation is disregarded
+// until the runner reports the run.
+func (r *run) mayHaveBegun() bool {
+	return r.confirmedAt != 0 || !r.unsettled && (r.startUnknown || r.sending)
+}
+
 // firstJob returns the least ID, which stands for all in a log line.
 func firstJob(jobs map[job.ID]bool) job.ID {
 	var first job.ID
@@ -76,6 +83,28 @@
 	return first
 }
 
+// suspectAbandoned suspects the tasks that had just been started on a runner which
+// is removed, so that a crash of it will not be known. It is not a crash that
+// counts, because the runner may only be cut off.
+func (s *State) suspectAbandoned(rs *runnerState) {
+	if rs.ended || rs.Draining || rs.cordoned {
+		return
+	}
+	n := 0
+	for _, a := range rs.abandoned {
+		t, c := a.task, a.task.crashes
+		if t.done || !t.job.open() || c.Suspect || !crash.IsFresh(a.confirmedAt, rs.lastReply) {
+			continue
+		}
+		c.Suspect = true
+		s.setCrashes(t, c)
+		n++
+	}
+	if n > 0 {
+		s.Logger.Log("msg", "tasks suspected, their runner is removed", "runner", rs.ID, "service", rs.Service, "tasks", n)
+	}
+}
+
 // giveUp ends the job of a task that crashes its runners.
 func (s *State) giveUp(t *task, now clock.BootTime) {
 	if t.job.open() {
@@ -247,36 +276,41 @@
 // chooseIsolated returns the runner on which a crash would end the fewest runs, or
 // nil.
 func (s *State) chooseIsolated(runners []*runnerState, js *jobState, now clock.BootTime) *runnerState {
-	t := js.firstWaiting()
-	if t == nil || js.storedVersion < t.reservedVersion {
-		return nil // nor would the runner do any work while the store is down
-	}
-	sp := t.step.spec
-	var best *runnerState
-	for _, rs := range runners {
-		if rs.isolated != nil || !s.usable(rs, now) || !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) ||
-			rs.health.quarantinedUntil.After(now) || !sp.LongRunning && rs.heldUntil.After(now) || !s.permitted(rs, t.step, now) {
-			continue
+	for _, t := range s.startableSuspects(js, now) {
+		if js.storedVersion < t.reservedVersion {
+			continue // nor would the runner do any work while the store is down
+		}
+		var best *runnerState
+		for _, rs := range runners {
+			if rs.isolated != nil || !s.eligible(rs, t, now) {
+				continue
+			}
+			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
+				best = rs
+			}
 		}
-		if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
-			best = rs
+		if best != nil {
+			return best
 		}
 	}
-	return best
+	return nil
 }
 
-// firstWaiting returns the first suspect without a run, or nil.
-func (js *jobState) firstWaiting() *task {
+// startableSuspects returns the first suspect of each step that could be started on
+// an isolated runner. The other suspects of the step have the same demand.
+func (s *State) startableSuspects(js *jobState, now clock.BootTime) []*task {
+	var ts []*task
 	for _, o := range js.occs {
 		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				if !t.done && t.crashes.Suspect && !t.live() && !st.spec.Gang {
-					return t
-				}
+			if st.spec.Gang || st.idle == 0 || !o.ready(st) {
+				continue
+			}
+			if i := slices.IndexFunc(st.tasks, func(t *task) bool { return t.crashes.Suspect && s.startable(t, now) }); i >= 0 {
+				ts = append(ts, st.tasks[i])
 			}
 		}
 	}
-	return nil
+	return ts
 }
 
 // inheritCrashes restores what a previous term stored of a task's crashes.
