--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -65,25 +65,25 @@
 }
 
 // Charge decides on the runs of a runner that has crashed, in their order, given
-// when it last replied. A suspect that had just been started takes all of the
-// blame. Without one, the runs that had just been started are suspected, and the
+// when it last replied. A suspect that had just been started is charged alone.
+// Without one, the runs that had just been started are suspected, and the
 // others as well if it is not the first crash for them.
 func Charge(runs []Run, heard clock.BootTime) []Verdict {
 	verdicts := make([]Verdict, len(runs))
-	tried := false
+	suspectStarted := false
 	fresh := make(map[job.ID]bool)
 	for i := range runs {
 		r := &runs[i]
 		verdicts[i].Record = r.Record
 		if IsFresh(r.ConfirmedAt, heard) {
 			fresh[r.Job] = true
-			tried = tried || r.Suspect
+			suspectStarted = suspectStarted || r.Suspect
 		}
 	}
 	for i := range runs {
 		r, v := &runs[i], &verdicts[i]
 		isFresh := IsFresh(r.ConfirmedAt, heard)
-		if tried && (!isFresh || !r.Suspect) {
+		if suspectStarted && (!isFresh || !r.Suspect) {
 			continue
 		}
 		v.Charged, v.Unresolved = true, 0
--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -12,9 +12,10 @@
 // A crash does not tell which of the runs on the runner caused it. A run whose
 // start the runner had only just carried out is suspected; one that had run for
 // a while is not, until a second runner crashes under its task. A suspect is
-// started again only on a runner that has no unproven runs of other jobs, so that
-// the next crash there concerns its job alone. A second crash that follows such a
-// start ends the job; a bystander completes there and is cleared.
+// started again only on a runner that has just started nothing else, and that
+// gets no other start until it has gone on, so that a crash there concerns its job
+// alone. A second crash that follows such a start ends the job; a bystander
+// completes there and is cleared.
 //
 // # Ordinary crashes
 //
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -17,7 +17,7 @@
 	confirmedAt clock.BootTime
 }
 
-// chargeCrash decides which tasks are to blame for the crash of a runner: its
+// chargeCrash decides to which tasks the crash of a runner is charged: its
 // incarnation ended, and neither a command nor a drain ended it.
 func (s *State) chargeCrash(rs *runnerState, why evidence, now clock.BootTime) {
 	if rs.Draining || rs.cordoned || why != restarted && why != replaced {
@@ -59,7 +59,7 @@
 		}
 	}
 	s.Logger.Log("msg", "runner crashed", "runner", rs.ID, "service", rs.Service, "why", why, "heard", now.Sub(rs.lastReply),
-		"runs", len(runs), "suspects", len(suspects), "first", firstJob(suspects), "exhausted", len(given))
+		"runs", len(runs), "suspects", len(suspects), "first", firstJob(suspects), "given_up", len(given))
 	for _, t := range given {
 		s.giveUp(t, now)
 	}
@@ -175,9 +175,9 @@
 }
 
 const (
-	// isolationShare is the part of a pool's usable runners that may be isolated
-	// at the same time, so that suspects do not take a pool from other work.
-	isolationShare = 2
+	// isolationDivisor bounds how many of a pool's usable runners are isolated at
+	// the same time, so that suspects do not take a pool from other work.
+	isolationDivisor = 2
 	// isolationTimeout is how long a runner waits for the start of its suspects.
 	isolationTimeout = 2 * time.Second
 )
@@ -212,7 +212,7 @@
 	for _, js := range waiting {
 		pool := s.service(js)
 		runners := s.usableRunners(pool, now)
-		if isolated[pool] >= max(1, len(runners)/isolationShare) {
+		if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
 			continue
 		}
 		if rs := s.chooseIsolated(runners, js, now); rs != nil {
@@ -313,7 +313,7 @@
 	return ts
 }
 
-// inheritCrashes restores what a previous term stored of a task's crashes.
+// inheritCrashes records whether a previous term stored a suspect of a job.
 func (s *State) inheritCrashes(js *jobState) {
 	for _, p := range js.storedTasks {
 		if p.Suspect && !p.Done {
