--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -24,6 +24,12 @@
 	maxRunners      = 140
 )
 
+// crashRegressions maps seeds of TestSoakCrashes that once failed to the cause of
+// the failure.
+var crashRegressions = map[uint64]string{
+	121: "A start that its runner had not received was charged with the crash of the next incarnation, and its job failed after one crash under it.",
+}
+
 // TestSoakCrashes guards against tasks that crash one runner after another, and
 // against violated guarantees around runners that crash, start again with the
 // same ID or address, change their capacity or have a wrong entry in the store.
@@ -32,12 +38,15 @@
 		t.Fatalf("%d daemons and %d runners: at most %d and %d are supported", *daemonFlag, *runnerFlag, maxDaemons, maxRunners)
 	}
 	bin := buildDaemon(t)
+	size := soakSize{daemons: *daemonFlag, runners: *runnerFlag, callers: callerCount * *daemonFlag / daemonCount, crashes: true}
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			soak(t, bin, seed, soakSize{
-				daemons: *daemonFlag, runners: *runnerFlag, callers: callerCount * *daemonFlag / daemonCount, crashes: true,
-			})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, bin, seed, size) })
+	}
+	for seed, cause := range crashRegressions {
+		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
+			t.Log(cause)
+			soak(t, bin, seed, size)
 		})
 	}
 }
