modeltest, sched, crash: one runner for models that must fail

The tests of internal/sched and internal/crash that leave out a safeguard had the same code to run a model which must fail.

--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -1,9 +1,7 @@
 package crash
 
 import (
-	"flag"
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -11,6 +9,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/modeltest"
 )
 
 // The model starts the tasks of jobs on runners. Some tasks crash each runner
@@ -197,48 +196,12 @@
 	rapid.Check(t, checkModel(""))
 }
 
-// recorder records whether a property failed, without failing the test.
-type recorder struct {
-	testing.TB
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Logf(string, ...any)   {}
-func (r *recorder) Fail()                 { r.failed = true }
-func (r *recorder) Failed() bool          { return r.failed }
-func (r *recorder) FailNow() {
-	r.failed = true
-	runtime.Goexit()
-}
-func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
-
 // TestModelFindsFaults guards against a model that checks nothing: it must fail
 // when a safeguard is left out.
 func TestModelFindsFaults(t *testing.T) {
-	for _, f := range [][2]string{{"rapid.shrinktime", "0s"}, {"rapid.nofailfile", "true"}, {"rapid.checks", "20000"}, {"rapid.steps", "100"}} {
-		old := flag.Lookup(f[0]).Value.String()
-		if err := flag.Set(f[0], f[1]); err != nil {
-			t.Fatal(err)
-		}
-		defer func() {
-			if err := flag.Set(f[0], old); err != nil {
-				t.Error(err)
-			}
-		}()
-	}
+	models := make(map[string]func(*rapid.T))
 	for _, weakest := range []string{"isolation", "stored", "unresolved", "alone"} {
-		t.Run(weakest, func(t *testing.T) {
-			r := &recorder{TB: t}
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				rapid.Check(r, checkModel(weakest))
-			}()
-			<-ended
-			if !r.failed {
-				t.Errorf("model passes without the safeguard %q", weakest)
-			}
-		})
+		models[weakest] = checkModel(weakest)
 	}
+	modeltest.MustFail(t, models)
 }
