lead: a term that has not loaded the state stores no roster

The processes were being stopped in turn.

A leader that was stopped between winning the key and loading the state stepped down like any other: its empty roster met a conflict, took the revision of the stored one from it, and replaced it, in the transaction that released the key. The next leader found no runner to wait for and started the tasks again. Such a term now only releases the key.

TestStepDownBeforeLoading failed before: the roster held an empty list. The fault is as old as the roster, and fits the operators' report better than any other found.

--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -43,6 +43,8 @@
 	rosterRev       kv.Revision
 	recordsStoredAt clock.BootTime
 	intentsRev      kv.Revision
+	// loaded is set once the state holds the records of previous terms.
+	loaded bool
 }
 
 // run loads the state, works until the leadership is lost, and releases the
@@ -51,6 +53,7 @@
 	t.spawn(func() { t.renew(ctx) })
 	inputRev, runnersRev, ok := t.load(ctx)
 	if ok {
+		t.loaded = true
 		ready()
 		t.spawn(func() { t.watchInput(ctx, inputRev) })
 		t.spawn(func() { t.watchRunners(ctx, runnersRev) })
@@ -80,14 +83,17 @@
 
 // stepDown stores the remaining progress. It then stores the roster for the
 // next leader and releases the leader key in one transaction. It does nothing
-// if the key is lost. Results that are not stored remain with their runners.
+// if the key is lost. Results that are not stored remain with their runners. A
+// term that has not loaded the state stores nothing: its records would replace
+// those of the previous terms.
 func (t *term) stepDown(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), errLostLeadership) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stepDownTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
+	release := kv.Txn{Deletes: []string{job.LeaderKey}}
+	for t.loaded && ctx.Err() == nil {
 		n, err := t.flush(ctx)
 		if err != nil {
 			t.logger.Log("msg", "progress write failed at the end of the term", "err", err)
@@ -97,19 +103,21 @@
 			break
 		}
 	}
-	t.mu.Lock()
-	entries := t.state.Roster(clock.Now(), true)
-	t.mu.Unlock()
-	b, err := cbor.Marshal(entries)
+	var err error
+	if t.loaded {
+		t.mu.Lock()
+		entries := t.state.Roster(clock.Now(), true)
+		t.mu.Unlock()
+		var b []byte
+		b, err = cbor.Marshal(entries)
+		release.Conds = []kv.Cond{{Key: job.RosterKey, Rev: t.rosterRev}}
+		release.Writes = []kv.Write{{Key: job.RosterKey, Value: b}}
+	}
 	if err == nil {
-		_, err = t.commit(ctx, kv.Txn{
-			Conds:   []kv.Cond{{Key: job.RosterKey, Rev: t.rosterRev}},
-			Writes:  []kv.Write{{Key: job.RosterKey, Value: b}},
-			Deletes: []string{job.LeaderKey},
-		})
+		_, err = t.commit(ctx, release)
 	}
 	if err != nil {
-		t.logger.Log("msg", "roster write failed at the end of the term", "err", err)
+		t.logger.Log("msg", "roster write failed at the end of the term", "loaded", t.loaded, "err", err)
 	}
 	if err := t.cfg.Store.Revoke(ctx, t.lease); err != nil {
 		t.logger.Log("msg", "lease revocation failed", "err", err)
