lead: keep an expired job until the store has deleted it

Cause: TakeExpired removed a job from the state before the store had deleted it, and a deletion that failed was never repeated. The list that follows a compaction names each job that the store holds, and one that is not in the state was added as new: without progress, and without the wait for the runners of previous terms. A list that was under way while the deletion was made did the same without any failure, and a deletion that was carried out late deleted a job accepted again under the same ID.

Change: a job stays in the state until its deletion is known to have taken effect, and the deletion is repeated. The state records up to which revision the input was read; a listed job accepted by then that is not in the state has expired. The deletion depends on the revision of each job. A failed deletion does not hold up the progress of other jobs.

--- a/internal/lead/flush.go
+++ b/internal/lead/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -66,7 +67,9 @@
 	if err := t.confirm(ctx); err != nil {
 		return 0, err
 	}
-	t.deleteExpired(ctx)
+	if err := t.deleteExpired(ctx); err != nil {
+		return 0, err
+	}
 	if err := t.storeWaves(ctx); err != nil {
 		return 0, err
 	}
@@ -193,23 +196,51 @@
 	return nil
 }
 
-// maxExpiredJobs is how many jobs one transaction deletes, at three keys each.
-const maxExpiredJobs = (kv.MaxEntries - 1) / 3
+const (
+	// maxExpiredJobs is how many jobs one transaction deletes, with a condition and
+	// three keys each.
+	maxExpiredJobs = (kv.MaxEntries - 1) / 4
+	// expiryRetryDelay follows a deletion that failed.
+	expiryRetryDelay = time.Second
+)
 
-// deleteExpired deletes jobs whose outcome need no longer be retained.
-func (t *term) deleteExpired(ctx context.Context) {
+// deleteExpired deletes jobs whose outcome need no longer be retained. A deletion
+// that is carried out late must not delete a job that was accepted again meanwhile,
+// so it depends on the revision of each job. A failure does not keep the progress
+// of other jobs from being stored.
+func (t *term) deleteExpired(ctx context.Context) error {
+	now := clock.Now()
+	if t.expiryRetryAt.After(now) {
+		return nil
+	}
 	t.mu.Lock()
-	ids := t.state.TakeExpired(clock.Now(), maxExpiredJobs)
+	expired := t.state.ExpiredJobs(now, maxExpiredJobs)
 	t.mu.Unlock()
-	if len(ids) == 0 {
-		return
+	if len(expired) == 0 {
+		return nil
 	}
 	txn := kv.Txn{Conds: []kv.Cond{{Key: job.LeaderKey, Rev: kv.Revision(t.id)}}}
-	for _, id := range ids {
-		txn.Deletes = append(txn.Deletes, job.Key(id), job.CancelKey(id), job.ProgressKey(id))
+	for _, e := range expired {
+		txn.Conds = append(txn.Conds, kv.Cond{Key: job.Key(e.ID), Rev: e.Created})
+		txn.Deletes = append(txn.Deletes, job.Key(e.ID), job.CancelKey(e.ID), job.ProgressKey(e.ID))
 	}
-	if _, err := t.cfg.Store.Commit(ctx, txn); err != nil {
-		// The next term finds these jobs again and deletes them.
-		t.logger.Log("msg", "deletion of expired jobs failed", "jobs", len(ids), "err", err)
+	_, err := t.cfg.Store.Commit(ctx, txn)
+	var conflict *kv.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		if runner.Term(conflict.Find(job.LeaderKey).Rev) != t.id {
+			return errLostLeadership
+		}
+		// An earlier deletion of unknown outcome has taken effect for these.
+		expired = slices.DeleteFunc(expired, func(e sched.ExpiredJob) bool { return conflict.Find(job.Key(e.ID)).Rev == e.Created })
+		t.logger.Log("msg", "expired jobs were deleted before", "jobs", len(expired))
+	case err != nil:
+		t.expiryRetryAt = now.Add(expiryRetryDelay)
+		t.logger.Log("msg", "deletion of expired jobs failed", "jobs", len(expired), "first", expired[0].ID, "err", err)
+		return nil
 	}
+	t.mu.Lock()
+	t.state.RemoveExpired(expired)
+	t.mu.Unlock()
+	return nil
 }
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -80,6 +80,7 @@
 	for _, it := range items {
 		t.cancel(it)
 	}
+	t.state.InputCurrent(rev, started)
 	c := t.state.Stats()
 	t.logger.Log("msg", "jobs loaded", "open", c.Open, "known", c.Jobs, "rev", int64(rev), "took", clock.Now().Sub(started))
 	return rev, nil
@@ -143,7 +144,7 @@
 			continue
 		}
 		rev = asOf
-		t.applyInput(events)
+		t.applyInput(events, asOf)
 		if len(events) > 0 {
 			t.notify()
 			clock.Sleep(ctx, watchDelay)
@@ -151,10 +152,10 @@
 	}
 }
 
-func (t *term) applyInput(events []kv.Event) {
+// applyInput applies the changes of the input up to a revision.
+func (t *term) applyInput(events []kv.Event, asOf kv.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.InputCurrent(clock.Now())
 	for i := range events {
 		e := &events[i]
 		switch {
@@ -169,6 +170,7 @@
 			t.cancel(e.Item)
 		}
 	}
+	t.state.InputCurrent(asOf, clock.Now())
 }
 
 // loadInput lists the input again after the watched revision was compacted.
@@ -187,7 +189,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.InputCurrent(clock.Now())
 	for _, it := range items {
 		if _, ok := job.IDFromKey(it.Key, job.JobPrefix); ok {
 			t.addJob(it, nil)
@@ -196,6 +197,7 @@
 	for _, it := range items {
 		t.cancel(it)
 	}
+	t.state.InputCurrent(rev, clock.Now())
 	t.notify()
 	return rev, nil
 }
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -43,6 +43,7 @@
 	rosterRev       kv.Revision
 	recordsStoredAt clock.BootTime
 	intentsRev      kv.Revision
+	expiryRetryAt   clock.BootTime // no deletion of expired jobs before this time
 	// loaded is set once the state holds the records of previous terms.
 	loaded bool
 }
--- a/internal/sched/capacity_test.go
+++ b/internal/sched/capacity_test.go
@@ -30,7 +30,7 @@
 	i := info(id, "pool")
 	i.Capacity = job.Resources{CPU: cpu, Mem: mem}
 	f.s.SetRunner(i, f.now)
-	f.s.InputCurrent(f.now)
+	f.s.InputCurrent(0, f.now)
 }
 
 // prepared returns the commands that are still needed when they are sent.
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -59,18 +59,37 @@
 	}
 }
 
-// TakeExpired removes jobs whose outcome need no longer be kept, and returns
-// their IDs.
-func (s *State) TakeExpired(now clock.BootTime, limit int) []job.ID {
-	var ids []job.ID
-	for len(s.closed) > 0 && len(ids) < limit {
-		js := s.closed[0]
-		if now.Sub(js.closed) < s.Limits.OutcomeRetention || js.storedVersion != js.version {
+// ExpiredJob is a job whose outcome need no longer be kept.
+type ExpiredJob struct {
+	ID      job.ID
+	Created kv.Revision // at which it was accepted
+}
+
+// ExpiredJobs returns jobs whose outcome need no longer be kept, at most limit.
+// They remain in the state until RemoveExpired, since a list of the jobs may
+// return them until they are deleted. For the same reason a job is kept until the
+// input has been read up to its acceptance.
+func (s *State) ExpiredJobs(now clock.BootTime, limit int) []ExpiredJob {
+	var expired []ExpiredJob
+	for _, js := range s.closed {
+		if len(expired) == limit || now.Sub(js.closed) < s.Limits.OutcomeRetention {
 			break
 		}
-		s.closed = s.closed[1:]
-		delete(s.jobs, js.def.ID)
-		ids = append(ids, js.def.ID)
+		if js.storedVersion == js.version && js.created <= s.inputRev {
+			expired = append(expired, ExpiredJob{ID: js.def.ID, Created: js.created})
+		}
+	}
+	return expired
+}
+
+// RemoveExpired removes jobs that the store no longer holds.
+func (s *State) RemoveExpired(expired []ExpiredJob) {
+	removed := make(map[*jobState]bool, len(expired))
+	for _, e := range expired {
+		if js := s.jobs[e.ID]; js != nil && js.created == e.Created {
+			removed[js] = true
+			delete(s.jobs, e.ID)
+		}
 	}
-	return ids
+	s.closed = slices.DeleteFunc(s.closed, func(js *jobState) bool { return removed[js] })
 }
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -170,7 +170,7 @@
 	for _, l := range m.leaders {
 		if l.store && l == m.newest() {
 			l.lastStoreReply = m.now
-			l.s.InputCurrent(m.now)
+			l.s.InputCurrent(0, m.now)
 		}
 	}
 }
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -158,7 +158,7 @@
 			f.report(rs.ID)
 		}
 		f.s.SetMachines(machinesOf(f.s), f.now)
-		f.s.InputCurrent(inputAt)
+		f.s.InputCurrent(0, inputAt)
 		f.s.Plan(f.now, time.Unix(0, 0))
 		if f.now.Sub(inputAt) <= maxInputAge {
 			f.s.Commands()
@@ -186,7 +186,7 @@
 	long := f.job(1, job.Step{Count: 4})
 	f.now += 20 * second
 	f.runner("a")
-	f.s.InputCurrent(f.now)
+	f.s.InputCurrent(0, f.now)
 	late := f.job(2, job.Step{Count: 8})
 	f.now += 4 * second
 	f.report("a")
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -59,7 +59,7 @@
 			s.AddJob(j, 100, nil, 0, now, time.Unix(0, 0))
 		}
 	}
-	s.InputCurrent(now)
+	s.InputCurrent(0, now)
 	return s, now
 }
 
@@ -84,7 +84,7 @@
 		s.Commands()
 		for b.Loop() {
 			now = now.Add(10 * time.Millisecond)
-			s.InputCurrent(now)
+			s.InputCurrent(0, now)
 			s.Plan(now, time.Unix(0, 0))
 			s.Commands()
 		}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -68,6 +68,7 @@
 	machineStates  map[machine.ID]*machineState
 	listedAt       clock.BootTime      // when the machines were last listed
 	inputCurrentAt clock.BootTime      // time up to which the input is complete
+	inputRev       kv.Revision         // revision up to which the input has been read
 	shortage       bool                // a pool has fewer machines than its timely work needs
 	poolsLoggedAt  clock.BootTime      // when the pools were last logged
 	arrivals       map[string]arrival  // by pool
@@ -135,15 +136,26 @@
 	return 1
 }
 
-// InputCurrent records that all jobs accepted up to now have been read from the
-// store.
-func (s *State) InputCurrent(now clock.BootTime) { s.inputCurrentAt = now }
+// InputCurrent records that all jobs accepted up to now, and up to a revision,
+// have been read from the store.
+func (s *State) InputCurrent(rev kv.Revision, now clock.BootTime) {
+	s.inputCurrentAt, s.inputRev = now, max(s.inputRev, rev)
+}
 
 // AddJob adds a job from the store, with its progress if it has any: created is
-// the revision at which the job was accepted, rev that of its progress.
+// the revision at which the job was accepted, rev that of its progress. A job
+// that is not in the state, although the input was read up to its acceptance, has
+// expired: its record may not have been deleted yet when it was listed.
 func (s *State) AddJob(j *job.Job, created kv.Revision, p *job.Progress, rev kv.Revision, now clock.BootTime, wall time.Time) {
-	if s.jobs[j.ID] != nil {
+	switch old := s.jobs[j.ID]; {
+	case old == nil && created <= s.inputRev:
+		s.Logger.Log("msg", "expired job ignored", "job", j.ID, "rev", int64(created), "read", int64(s.inputRev))
+		return
+	case old == nil:
+	case old.open() || created <= old.created:
 		return
+	default: // accepted again after its deletion, of which the reply was lost
+		s.RemoveExpired([]ExpiredJob{{ID: j.ID, Created: old.created}})
 	}
 	age := min(max(wall.Sub(j.Accepted), 0), maxJobAge)
 	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now.Add(-age)}
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -71,7 +71,7 @@
 // plan returns the commands of a full planning pass.
 func (f *fixture) plan() []Command {
 	f.now = f.now.Add(fullPlanInterval)
-	f.s.InputCurrent(f.now)
+	f.s.InputCurrent(0, f.now)
 	f.s.Plan(f.now, time.Unix(0, 0))
 	f.commands = f.s.Commands()
 	return f.commands
