sched: a start that nobody confirmed is no crash under a task

Cause: a runner that has crashed silently counts as reachable until a call fails. A start that was queued for it, in flight or without a reply was charged like one that the runner had confirmed, and two charges end a job. The runner to which a suspect is sent apart from other work was the one with the fewest runs, which favours a runner that was idle when it crashed; its poll shows the crash only after up to 1.9 s.

Change: a crash counts under a task only if the runner had confirmed the start. An unconfirmed start is unresolved, and a task is given up after three crashes of both kinds, so that one that never lets its runner reply is still bounded. What the next incarnation does with such a start does not resolve it. A queued start counts for nothing. A suspect goes to a runner that has replied lately if there is one, and is sent only just after a reply.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -19,29 +19,37 @@
 	MaxCrashes = 2
 	// MaxSharedCrashes is the same if other jobs may have caused the last crash.
 	MaxSharedCrashes = 4
-	// MaxUnresolved is how many starts of a suspect may remain of which it is not
-	// known whether they crashed the runner.
-	MaxUnresolved = 2
+	// MaxPossibleCrashes is after how many crashes a task is given up if it is not
+	// known of all of them that they followed a start of the task.
+	MaxPossibleCrashes = 3
 )
 
 // Record is what is known of the crashes of runners under a task. The zero value
 // is that of a task without any.
 type Record struct {
-	Crashes    int  // runners that crashed under the task since a run last cleared it
-	Suspect    bool // the task is started only apart from other jobs
-	Unresolved int  // starts as a suspect of which it is not known whether they crashed the runner
+	// Crashes is how many runners crashed under a run that they had confirmed, since
+	// a run last cleared the task.
+	Crashes int
+	Suspect bool // the task is started only apart from other jobs
+	// Unresolved is how many starts there were of which it is not known whether they
+	// crashed the runner. Those of a suspect count from before they are sent.
+	Unresolved int
 }
 
+// Possible returns how many runners may have crashed under the task.
+func (r Record) Possible() int { return r.Crashes + r.Unresolved }
+
 // Exhausted reports whether a suspect must not be started again, because too
 // many of its starts may have crashed a runner unseen.
-func (r Record) Exhausted() bool { return r.Unresolved >= MaxUnresolved }
+func (r Record) Exhausted() bool { return r.Unresolved > 0 && r.Possible() >= MaxPossibleCrashes }
 
 // Run is a run that was on a runner when the runner crashed.
 type Run struct {
 	Record
 	Job job.ID
 	// ConfirmedAt is when the leader first knew that the runner had carried out
-	// the start; zero if it never knew.
+	// the start; zero if it never knew. Then the runner may have crashed before it
+	// received the start.
 	ConfirmedAt clock.BootTime
 }
 
@@ -60,14 +68,15 @@
 // Verdict is the decision on the task of a run.
 type Verdict struct {
 	Record
-	Charged bool // the crash counts against the task
+	Charged bool // the crash counts against the task, or may do so
 	GiveUp  bool // the job of the task fails
 }
 
 // Charge decides on the runs of a runner that has crashed, in their order, given
 // when it last replied. A suspect that had just been started is charged alone.
 // Without one, the runs that had just been started are suspected, and the
-// others as well if it is not the first crash for them.
+// others as well if it is not the first crash for them. A start that was not
+// confirmed counts as unresolved.
 func Charge(runs []Run, heard clock.BootTime) []Verdict {
 	verdicts := make([]Verdict, len(runs))
 	suspectStarted := false
@@ -86,11 +95,18 @@
 		if suspectStarted && (!isFresh || !r.Suspect) {
 			continue
 		}
-		v.Charged, v.Unresolved = true, 0
-		v.Crashes++
+		v.Charged = true
+		confirmed := r.ConfirmedAt != 0
+		switch {
+		case confirmed:
+			v.Crashes++
+			v.Unresolved = max(v.Unresolved-1, 0) // the count of this start
+		case !r.Suspect:
+			v.Unresolved++
+		}
 		v.Suspect = r.Suspect || isFresh || v.Crashes >= MaxCrashes
-		alone := isFresh && len(fresh) == 1
-		v.GiveUp = r.Suspect && (alone && v.Crashes >= MaxCrashes || v.Crashes >= MaxSharedCrashes)
+		alone := confirmed && isFresh && len(fresh) == 1
+		v.GiveUp = r.Suspect && (alone && v.Crashes >= MaxCrashes || v.Crashes >= MaxSharedCrashes || v.Exhausted())
 	}
 	return verdicts
 }
--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -17,6 +17,14 @@
 // alone. A second crash that follows such a start ends the job; a bystander
 // completes there and is cleared.
 //
+// # Unconfirmed starts
+//
+// A runner that has crashed silently counts as reachable until a call fails, so
+// that starts are sent to it which never arrive. A crash counts as one under a
+// task only if the runner had confirmed the start, by its reply or in a report.
+// Otherwise the start is unresolved: it may have crashed the runner, so that a
+// task is also given up after MaxPossibleCrashes of both kinds.
+//
 // # Ordinary crashes
 //
 // Runners also crash by themselves, alone or with their rack or zone. A task
@@ -29,6 +37,6 @@
 //
 // A record is stored before its task is started again, and each start of a
 // suspect is counted in the store before it is sent. A leader that ends before it
-// sees the crash therefore leaves a counted start, and MaxUnresolved of them end the
-// job too. A start is no longer counted once the runner has gone on after it.
+// sees the crash therefore leaves an unresolved start. A start is no longer counted
+// once the runner has gone on after it.
 package crash
--- a/internal/lead/plan.go
+++ b/internal/lead/plan.go
@@ -44,11 +44,15 @@
 		t.state.Plan(clock.Now(), time.Now())
 		commands := t.state.Commands()
 		queries := t.state.PolicyQueries()
+		isolated := t.state.NewlyIsolated()
 		t.mu.Unlock()
 		took := clock.Now().Sub(started)
 		for _, q := range queries {
 			t.enqueue(q)
 		}
+		for _, id := range isolated {
+			t.wakePoller(id)
+		}
 		t.send(ctx, commands)
 		clock.Sleep(ctx, max(minPlanDelay, planDelayFactor*took, time.Duration(t.pollerCount.Load())*planDelayPerRunner))
 	}
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -186,6 +186,7 @@
 	if r.task.step.spec.Checkpointing {
 		st.Checkpoint = r.task.checkpoint
 	}
+	r.startSent = true
 	return st, true
 }
 
@@ -210,6 +211,9 @@
 	if r == nil {
 		return c.Kind == StopRun && !replied && s.runners[c.To.ID] != nil && !s.runners[c.To.ID].unreachable && !s.isOutdated(c)
 	}
+	if c.Kind == StartRun {
+		r.startSent = false
+	}
 	if !replied {
 		if c.Kind == StartRun && sent {
 			r.startUnknown = true
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -156,7 +156,7 @@
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
 		if !r.mayHaveBegun() {
-			s.startResolved(r.task)
+			s.runResolved(r)
 		}
 		s.runLost(r, why.String(), now)
 	}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -42,6 +42,7 @@
 	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
 	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
 	sending      bool           // a start or stop of the run is queued or in flight
+	startSent    bool           // a start is in flight
 }
 
 // task is one task of an occurrence.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -121,7 +121,7 @@
 
 // allowed reports whether a task may run on a runner.
 func (s *State) allowed(rs *runnerState, t *task, now clock.BootTime) bool {
-	return s.eligible(rs, t, now) && s.isolationAllows(rs, t)
+	return s.eligible(rs, t, now) && s.isolationAllows(rs, t, now)
 }
 
 // eligible reports whether a task may run on a runner, apart from isolation.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -140,7 +140,7 @@
 				if r.mayHaveBegun() {
 					rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
 				} else {
-					s.startResolved(r.task)
+					s.runResolved(r)
 				}
 				if !r.task.step.spec.LongRunning {
 					r.task.notBefore = now.Add(returnGrace)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -308,10 +308,10 @@
 		}
 		switch {
 		case r.phase == stopping && r.stopConfirmed != 0 && sent.After(r.stopConfirmed):
-			s.startResolved(r.task)
+			s.runResolved(r)
 			s.runLost(r, "stopped before it began", now)
 		case r.phase != starting && r.confirmedAt != 0 && sent.After(r.confirmedAt) && r.phase != stopping:
-			s.startResolved(r.task)
+			s.runResolved(r)
 			s.runLost(r, "runner does not list it", now)
 		case r.withheldLost(sent):
 			s.stop(r, "start withheld, outcome unknown")
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -74,7 +74,8 @@
 	if t == nil {
 		return nil
 	}
-	if r := rs.runs[res.Task]; r != nil && r.attempt <= res.Attempt {
+	r := rs.runs[res.Task]
+	if r != nil && r.attempt <= res.Attempt {
 		rs.remove(r)
 	}
 	t.endedAt = now
@@ -91,7 +92,7 @@
 	}
 	if res.Cause == runner.Done || res.Cause == runner.Failed {
 		s.clearCrashes(t)
-	} else {
+	} else if r == nil || !r.unsettled {
 		s.startResolved(t)
 	}
 	switch res.Cause {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -76,6 +76,7 @@
 	unplaced       map[string]int      // long-running tasks that must leave and fit nowhere, by pool
 	standby        []*machineState     // see indexStandby
 	suspected      map[*jobState]bool  // open jobs that may have suspects
+	newlyIsolated  []runner.ID         // see NewlyIsolated
 	intents        map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -8,6 +8,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // abandonedRun is a run that was given up when the lease of its runner expired.
@@ -44,6 +45,7 @@
 		return
 	}
 	var given []*task
+	unconfirmed := 0
 	suspects := make(map[job.ID]bool)
 	for i, v := range crash.Charge(runs, rs.lastReply) {
 		t := tasks[i]
@@ -51,6 +53,9 @@
 			continue
 		}
 		s.setCrashes(t, v.Record)
+		if runs[i].ConfirmedAt == 0 {
+			unconfirmed++
+		}
 		if v.Suspect {
 			suspects[t.name.Job] = true
 		}
@@ -59,7 +64,7 @@
 		}
 	}
 	s.Logger.Log("msg", "runner crashed", "runner", rs.ID, "service", rs.Service, "why", why, "heard", now.Sub(rs.lastReply),
-		"runs", len(runs), "suspects", len(suspects), "first", firstJob(suspects), "given_up", len(given))
+		"runs", len(runs), "unconfirmed", unconfirmed, "suspects", len(suspects), "first", firstJob(suspects), "given_up", len(given))
 	for _, t := range given {
 		s.giveUp(t, now)
 	}
@@ -69,7 +74,7 @@
 // start of a run. One that was sent to the previous incarnation is disregarded
 // until the runner reports the run.
 func (r *run) mayHaveBegun() bool {
-	return r.confirmedAt != 0 || !r.unsettled && (r.startUnknown || r.sending)
+	return r.confirmedAt != 0 || !r.unsettled && (r.startUnknown || r.startSent)
 }
 
 // firstJob returns the least ID, which stands for all in a log line.
@@ -131,6 +136,15 @@
 	}
 }
 
+// runResolved is startResolved for the start of a run. What the next incarnation
+// does with a start that was sent to the previous one does not tell whether that one
+// crashed after it.
+func (s *State) runResolved(r *run) {
+	if !r.unsettled {
+		s.startResolved(r.task)
+	}
+}
+
 // startResolved records that the last counted start of a suspect did not crash its
 // runner: the runner went on after it, or rejected it, or the run ended. This
 // alone does not clear the task.
@@ -144,11 +158,13 @@
 
 // isolationAllows reports whether a task may be started on a runner as far as
 // suspects are concerned: an isolated runner takes the suspects of one job only,
-// and they go nowhere else. The members of a gang run at the same time, so that
-// they only keep apart from the suspects of other jobs.
-func (s *State) isolationAllows(rs *runnerState, t *task) bool {
+// and they go nowhere else. It must have replied just before, because one that has
+// crashed silently would be taken for a victim of the suspect. The members of a
+// gang run at the same time, so that they only keep apart from the suspects of
+// other jobs.
+func (s *State) isolationAllows(rs *runnerState, t *task, now clock.BootTime) bool {
 	if rs.isolated != nil {
-		return rs.isolated == t.job && t.crashes.Suspect && rs.isQuiet()
+		return rs.isolated == t.job && t.crashes.Suspect && rs.isQuiet() && now.Sub(rs.lastReply) <= maxSuspectReplyAge
 	}
 	return !t.crashes.Suspect || t.step.spec.Gang && !rs.hasSuspects(t.job)
 }
@@ -178,8 +194,15 @@
 	// isolationDivisor bounds how many of a pool's usable runners are isolated at
 	// the same time, so that suspects do not take a pool from other work.
 	isolationDivisor = 2
-	// isolationTimeout is how long a runner waits for the start of its suspects.
+	// isolationTimeout is how long a runner waits for the start of its suspects. It
+	// includes the reply to a poll of an idle runner.
 	isolationTimeout = 2 * time.Second
+	// maxSuspectReplyAge is how old the last reply of a runner may be when a suspect
+	// is started there. The polls of an isolated runner do not wait.
+	maxSuspectReplyAge = crash.FreshFor
+	// maxBusyReplyAge is the age that the last reply of a runner with runs reaches
+	// while the runner is well.
+	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
 )
 
 // planIsolation isolates runners for the jobs with suspects that wait, and frees
@@ -217,6 +240,7 @@
 		}
 		if rs := s.chooseIsolated(runners, js, now); rs != nil {
 			rs.isolated, rs.isolatedAt, js.isolatedOn = js, now, rs
+			s.newlyIsolated = append(s.newlyIsolated, rs.ID)
 			isolated[pool]++
 			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 		}
@@ -242,7 +266,7 @@
 	if started && !fresh {
 		for _, r := range runsOf(rs) {
 			if r.task.job == js {
-				s.startResolved(r.task)
+				s.runResolved(r)
 			}
 		}
 	}
@@ -273,8 +297,17 @@
 	return waits, suspected
 }
 
-// chooseIsolated returns the runner on which a crash would end the fewest runs, or
-// nil.
+// NewlyIsolated returns the runners that were isolated since the last call. Their
+// next poll is due at once, because the suspects wait for its reply.
+func (s *State) NewlyIsolated() []runner.ID {
+	ids := s.newlyIsolated
+	s.newlyIsolated = nil
+	return ids
+}
+
+// chooseIsolated returns the runner on which a crash would end the fewest runs,
+// among those that replied lately if there are any, or nil. A runner that has
+// crashed silently has few runs.
 func (s *State) chooseIsolated(runners []*runnerState, js *jobState, now clock.BootTime) *runnerState {
 	for _, t := range s.startableSuspects(js, now) {
 		if js.storedVersion < t.reservedVersion {
@@ -285,7 +318,7 @@
 			if rs.isolated != nil || !s.eligible(rs, t, now) {
 				continue
 			}
-			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
+			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), compareBool(best.heardLately(now), rs.heardLately(now)), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
 				best = rs
 			}
 		}
@@ -296,6 +329,11 @@
 	return nil
 }
 
+// heardLately reports whether a runner has replied as recently as one with runs does.
+func (rs *runnerState) heardLately(now clock.BootTime) bool {
+	return now.Sub(rs.lastReply) <= maxBusyReplyAge
+}
+
 // startableSuspects returns the first suspect of each step that could be started on
 // an isolated runner. The other suspects of the step have the same demand.
 func (s *State) startableSuspects(js *jobState, now clock.BootTime) []*task {
