sched: keep the other tasks of a long-running job at work

Cause: a task that is given up ends its job, and the end of a job stops all of its runs. For a long-running job that is more than what the crashes cost: its other tasks are at work, and more of them are stopped than may be.

The job ends as before if nothing of it is at work.

TestCrashingTaskEndsOthers failed on ("is stopped after 2 crashes").

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -176,7 +176,7 @@
 
 // startable reports whether a task may be started now.
 func (s *State) startable(t *task, now clock.BootTime) bool {
-	if t.done || !t.job.open() || t.live() || t.notBefore.After(now) {
+	if t.done || !t.job.open() || t.live() || t.notBefore.After(now) || t.isGivenUp() {
 		return false
 	}
 	return s.runsKnown(t)
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -66,7 +66,7 @@
 	s.Logger.Log("msg", "runner crashed", "runner", rs.ID, "service", rs.Service, "why", why, "heard", now.Sub(rs.lastReply),
 		"runs", len(runs), "unconfirmed", unconfirmed, "suspects", len(suspects), "first", firstJob(suspects), "given_up", len(given))
 	for _, t := range given {
-		s.giveUp(t, now)
+		s.giveUp(t, rs, now)
 	}
 }
 
@@ -110,12 +110,48 @@
 	}
 }
 
-// giveUp ends the job of a task that crashes its runners.
-func (s *State) giveUp(t *task, now clock.BootTime) {
-	if t.job.open() {
-		s.Logger.Log("msg", "task given up", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
-		s.close(t.job, job.Failed, "task "+t.name.String()+" crashed its runners", now)
+// giveUp ends the job of a task that crashes its runners, the last one on the given
+// runner, and reports whether the task must not be started again. While other tasks
+// of a long-running job are at work, ending it would stop these, so only the task
+// is given up, and later.
+func (s *State) giveUp(t *task, on *runnerState, now clock.BootTime) bool {
+	js := t.job
+	if !js.open() {
+		return true
+	}
+	if js.worksElsewhere(on) {
+		if t.isGivenUp() {
+			s.Logger.Log("msg", "task given up, others of its job are at work", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+		}
+		return t.isGivenUp()
+	}
+	s.Logger.Log("msg", "task given up", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+	s.close(js, job.Failed, "task "+t.name.String()+" crashed its runners", now)
+	return true
+}
+
+// isGivenUp reports whether a long-running task is not started again, though its
+// job goes on.
+func (t *task) isGivenUp() bool {
+	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.Possible() >= crash.MaxSharedCrashes
+}
+
+// worksElsewhere reports whether a long-running task of a job is at work on another
+// runner than the given one.
+func (js *jobState) worksElsewhere(than *runnerState) bool {
+	for _, o := range js.occs {
+		for _, st := range o.steps {
+			if !st.spec.LongRunning {
+				continue
+			}
+			for _, t := range st.tasks {
+				if slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase == running && r.runner != than }) {
+					return true
+				}
+			}
+		}
 	}
+	return false
 }
 
 // setCrashes replaces the record of a task, to be stored.
@@ -289,7 +325,7 @@
 			for _, t := range st.tasks {
 				if t.crashes.Suspect && !t.done {
 					suspected = true
-					waits = waits || !st.spec.Gang && !t.live()
+					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp()
 				}
 			}
 		}
--- a/internal/sched/suspect_test.go
+++ b/internal/sched/suspect_test.go
@@ -320,3 +320,44 @@
 		t.Errorf("record %+v, want none", got)
 	}
 }
+
+// TestCrashingTaskEndsOthers guards against a long-running job whose tasks that
+// work well are stopped because another one crashes its runners, and against that
+// one being started without limit.
+func TestCrashingTaskEndsOthers(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d")
+	id := f.job(1, job.Step{Count: 4, LongRunning: true, PerRunner: 1})
+	deadly := job.Task{Job: id, Index: 3}
+	crashes := 0
+	for range 300 {
+		commands := f.plan()
+		if stops := ofKind(commands, StopRun); len(stops) > 0 {
+			t.Fatalf("%s is stopped after %d crashes under %s", stops[0].Task, crashes, deadly)
+		}
+		for _, c := range ofKind(commands, StartRun) {
+			f.accept([]Command{c})
+			if c.Task == deadly {
+				crashes++
+				f.crash(c.To.ID)
+			}
+		}
+		f.flush()
+		for other, rs := range f.s.runners {
+			if rs.replied && !rs.unreachable && !rs.ended {
+				f.report(other, f.running(rs)...)
+			}
+		}
+	}
+	if crashes < crash.MaxCrashes || crashes > 5 {
+		t.Errorf("%d runners crashed under the task, want at most two after the third", crashes)
+	}
+	if got := f.outcome(id); got != job.Open {
+		t.Errorf("outcome %v, want open: three of its tasks are at work", got)
+	}
+	for i := range 3 {
+		if x := f.s.jobs[id].task(job.Task{Job: id, Index: i}); !x.live() {
+			t.Errorf("task %s has no run", x.name)
+		}
+	}
+}
