sched: do not give up a suspect that went on for one later crash

Jobs were failed although their suspect had gone on after it was started alone: its runner crashed a second later with many others, and the next one before it received the start.

Cause: all crashes counted alike, also one that came long after the start, while a task that crashes its runners does so at once. And up to 150 ms after its last reply a silent runner was taken for one that is up, though the polls of an isolated runner, which do not wait, return within some 50 ms.

Change: the record has how many crashes came at once since the task last went on alone, and the limits of two and three count these. Any four still give a task up. A later leader takes all stored ones for immediate. A suspect is started at most 60 ms after a reply, and an isolated runner is polled as often as one of a small fleet. The end of an isolation resolves its starts once, not in each planning pass while the runner is unreachable.

TestSuspectThatWentOnGivenUp failed before ("outcome failed with record {Crashes:2 Suspect:true Unresolved:1}").

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -14,13 +14,13 @@
 	FreshFor = 150 * time.Millisecond
 	// ProvenAfter is how long a run must go on to clear its task.
 	ProvenAfter = 3 * time.Second
-	// MaxCrashes is after how many crashes a task is given up if the last one
-	// followed its start alone.
+	// MaxCrashes is after how many immediate crashes a task is given up if the last
+	// one followed its start alone.
 	MaxCrashes = 2
-	// MaxSharedCrashes is the same if other jobs may have caused the last crash.
+	// MaxSharedCrashes is after how many crashes of any kind a task is given up.
 	MaxSharedCrashes = 4
-	// MaxPossibleCrashes is after how many crashes a task is given up if it is not
-	// known of all of them that they followed a start of the task.
+	// MaxPossibleCrashes is after how many immediate crashes a task is given up if
+	// it is not known of all of them that they followed a start of the task.
 	MaxPossibleCrashes = 3
 )
 
@@ -30,7 +30,11 @@
 	// Crashes is how many runners crashed under a run that they had confirmed, since
 	// a run last cleared the task.
 	Crashes int
-	Suspect bool // the task is started only apart from other jobs
+	// Immediate is how many of these came just after the start, since the task last
+	// went on after one apart from other jobs. It is not stored: a later leader
+	// assumes that all did.
+	Immediate int
+	Suspect   bool // the task is started only apart from other jobs
 	// Unresolved is how many starts there were of which it is not known whether they
 	// crashed the runner. Those of a suspect count from before they are sent.
 	Unresolved int
@@ -41,7 +45,16 @@
 
 // Exhausted reports whether a suspect must not be started again, because too
 // many of its starts may have crashed a runner unseen.
-func (r Record) Exhausted() bool { return r.Unresolved > 0 && r.Possible() >= MaxPossibleCrashes }
+func (r Record) Exhausted() bool {
+	return r.Unresolved > 0 && (r.Immediate+r.Unresolved >= MaxPossibleCrashes || r.Possible() >= MaxSharedCrashes)
+}
+
+// WentOn returns the record after the runner of a suspect has gone on after a start
+// apart from other jobs. The task may still crash it later.
+func (r Record) WentOn() Record {
+	r.Immediate, r.Unresolved = 0, max(r.Unresolved-1, 0)
+	return r
+}
 
 // Run is a run that was on a runner when the runner crashed.
 type Run struct {
@@ -100,13 +113,16 @@
 		switch {
 		case confirmed:
 			v.Crashes++
+			if isFresh {
+				v.Immediate++
+			}
 			v.Unresolved = max(v.Unresolved-1, 0) // the count of this start
 		case !r.Suspect:
 			v.Unresolved++
 		}
 		v.Suspect = r.Suspect || isFresh || v.Crashes >= MaxCrashes
 		alone := confirmed && isFresh && len(fresh) == 1
-		v.GiveUp = r.Suspect && (alone && v.Crashes >= MaxCrashes || v.Crashes >= MaxSharedCrashes || v.Exhausted())
+		v.GiveUp = r.Suspect && (alone && v.Immediate >= MaxCrashes || v.Crashes >= MaxSharedCrashes || v.Exhausted())
 	}
 	return verdicts
 }
--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -14,8 +14,9 @@
 // a while is not, until a second runner crashes under its task. A suspect is
 // started again only on a runner that has just started nothing else, and that
 // gets no other start until it has gone on, so that a crash there concerns its job
-// alone. A second crash that follows such a start ends the job; a bystander
-// completes there and is cleared.
+// alone. A second crash that follows such a start at once ends the job; a bystander
+// completes there and is cleared. Until then, one that has gone on after such a
+// start is given up only after MaxSharedCrashes.
 //
 // # Unconfirmed starts
 //
@@ -30,7 +31,7 @@
 // Runners also crash by themselves, alone or with their rack or zone. A task
 // that was started at such a moment is suspected, run apart and cleared. It is
 // given up only if the runner of its next run crashes as well, just after the
-// start. A run that goes on for ProvenAfter, or ends with a result, clears its
+// start, or those of MaxSharedCrashes runs within ProvenAfter. A run that goes on for ProvenAfter, or ends with a result, clears its
 // task.
 //
 // # Change of leader
--- a/internal/lead/poll.go
+++ b/internal/lead/poll.go
@@ -44,6 +44,9 @@
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		interval := max(pollInterval, t.cfg.pollPause(len(t.pollers)))
+		if t.state.Isolated(id) {
+			interval = pollInterval
+		}
 		idle := t.state.Idle(id)
 		req, ok := t.state.Poll(id, clock.Now())
 		if !ok {
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -154,7 +154,7 @@
 			t := &task{job: js, step: s, name: job.Task{Job: js.def.ID, Occ: n, Step: i, Index: k}}
 			if p := js.storedTasks[t.name]; p != nil {
 				t.done, t.failed, t.attempt, t.checkpoint = p.Done, p.Failed, p.Attempt, p.Checkpoint
-				t.crashes = crash.Record{Crashes: p.Crashes, Suspect: p.Suspect, Unresolved: p.Unresolved}
+				t.crashes = crash.Record{Crashes: p.Crashes, Immediate: p.Crashes, Suspect: p.Suspect, Unresolved: p.Unresolved}
 				if t.done {
 					s.done++
 				}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -234,8 +234,9 @@
 	// includes the reply to a poll of an idle runner.
 	isolationTimeout = 2 * time.Second
 	// maxSuspectReplyAge is how old the last reply of a runner may be when a suspect
-	// is started there. The polls of an isolated runner do not wait.
-	maxSuspectReplyAge = crash.FreshFor
+	// is started there. The polls of an isolated runner do not wait, so that a longer
+	// silence means that it may have crashed.
+	maxSuspectReplyAge = 60 * time.Millisecond
 	// maxBusyReplyAge is the age that the last reply of a runner with runs reaches
 	// while the runner is well.
 	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
@@ -299,13 +300,6 @@
 			fresh = fresh || crash.IsFresh(r.confirmedAt, rs.lastReply)
 		}
 	}
-	if started && !fresh {
-		for _, r := range runsOf(rs) {
-			if r.task.job == js {
-				s.runResolved(r)
-			}
-		}
-	}
 	switch {
 	case !js.open() || rs.ended:
 	case started && fresh, rs.unreachable && started:
@@ -313,6 +307,13 @@
 	case !started && waits && s.usable(rs, now) && now.Sub(rs.isolatedAt) < isolationTimeout:
 		return false
 	}
+	if started && !fresh {
+		for _, r := range runsOf(rs) {
+			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
+				s.setCrashes(t, t.crashes.WentOn())
+			}
+		}
+	}
 	s.Logger.Log("msg", "runner isolation ended", "runner", rs.ID, "job", js.def.ID, "open", js.open(), "started", started, "took", now.Sub(rs.isolatedAt))
 	return true
 }
@@ -333,6 +334,12 @@
 	return waits, suspected
 }
 
+// Isolated reports whether a runner is isolated.
+func (s *State) Isolated(id runner.ID) bool {
+	rs := s.runners[id]
+	return rs != nil && rs.isolated != nil
+}
+
 // NewlyIsolated returns the runners that were isolated since the last call. Their
 // next poll is due at once, because the suspects wait for its reply.
 func (s *State) NewlyIsolated() []runner.ID {
--- a/internal/sched/suspect_test.go
+++ b/internal/sched/suspect_test.go
@@ -361,3 +361,35 @@
 		}
 	}
 }
+
+// TestSuspectThatWentOnGivenUp guards against a job that fails although its suspect
+// went on after it was started alone, because that runner crashed later, and the next
+// one before it received the start.
+func TestSuspectThatWentOnGivenUp(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c")
+	id := f.job(1, job.Step{})
+	x := f.suspect(job.Task{Job: id})
+	f.settle(20)
+	if !x.live() || f.s.suspected[x.job] && x.job.isolatedOn != nil {
+		t.Fatal("the suspect has not gone on")
+	}
+	f.crash(x.runs[0].runner.ID)
+	for range 40 {
+		for _, c := range ofKind(f.plan(), StartRun) {
+			f.loseReply(c)
+			f.crash(c.To.ID)
+			if got := f.outcome(id); got != job.Open {
+				t.Errorf("outcome %v with record %+v, want open", got, x.crashes)
+			}
+			return
+		}
+		f.flush()
+		for other, rs := range f.s.runners {
+			if rs.replied && !rs.unreachable && !rs.ended {
+				f.report(other, f.running(rs)...)
+			}
+		}
+	}
+	t.Error("the suspect is not started again")
+}
