lead: end a job whose progress cannot be decoded

Cause: addJob logged that the progress could not be decoded and added the job without any, as a new one.

Change: such a job ends as failed. This replaces the damaged record, under the condition on its revision, so that all later leaders and callers see the same outcome. Leaving the job open without starting it was considered: its callers would wait for ever, and its results would either be acknowledged without a record or keep their runners from being used.

TestUnreadableProgressStartsJob failed before ("1 open jobs, want none").

--- a/internal/lead/expired_test.go
+++ b/internal/lead/expired_test.go
@@ -188,3 +188,27 @@
 		t.Error("the accepted job is not in the state")
 	}
 }
+
+// TestUnreadableProgressStartsJob guards against a job that is run again from its
+// beginning because the record of its progress cannot be decoded.
+func TestUnreadableProgressStartsJob(t *testing.T) {
+	s := &expiryStore{Store: &store.Store{}}
+	tm := newTestTerm(t, &lossyStore{Store: s.Store})
+	tm.cfg.CurrentConfig = func() *job.Config { return nil }
+	acceptJob(t, s)
+	s.Put(job.ProgressKey(expiredID), []byte("\xff"))
+	if _, err := tm.loadJobs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if c := tm.state.Stats(); c.Open != 0 {
+		t.Errorf("%d open jobs, want none: it is not known which tasks are done", c.Open)
+	}
+	rows := tm.state.DirtyProgress(10)
+	if len(rows) != 1 || rows[0].Progress.Outcome != job.Failed {
+		t.Fatalf("progress to store %+v, want a failed job", rows)
+	}
+	it, err := s.Get(t.Context(), job.ProgressKey(expiredID))
+	if err != nil || rows[0].Rev != int64(it.Rev) {
+		t.Errorf("it replaces revision %d, want %d (%v)", rows[0].Rev, it.Rev, err)
+	}
+}
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -110,6 +110,8 @@
 	if ok {
 		if p, err = job.DecodeProgress(pit.Value); err != nil {
 			t.logger.Log("msg", "progress decoding failed", "key", pit.Key, "err", err)
+			t.state.AddUnreadableJob(j, it.Created, pit.Rev, clock.Now())
+			return
 		}
 	}
 	t.state.AddJob(j, it.Created, p, pit.Rev, clock.Now(), time.Now())
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -194,6 +194,21 @@
 	s.closeIfDone(js, now)
 }
 
+// AddUnreadableJob adds a job whose progress, at the given revision, cannot be
+// decoded. It ends as failed, which replaces the progress: nobody knows which of its
+// tasks are done, so that none may be started.
+func (s *State) AddUnreadableJob(j *job.Job, created, rev kv.Revision, now clock.BootTime) {
+	if s.jobs[j.ID] != nil || created <= s.inputRev {
+		return
+	}
+	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now, started: true}
+	if s.cfg != nil {
+		js.queue = s.cfg.Queues[j.Queue]
+	}
+	s.jobs[j.ID] = js
+	s.close(js, job.Failed, "progress cannot be decoded", now)
+}
+
 // maxJobAge limits the age derived from a job's acceptance time, because the
 // clocks of the hosts may jump.
 const maxJobAge = time.Minute
