sched: release the occurrences of a scheduled job by their number

Cause: releaseDue created the occurrences from the count of those that exist on, as if these were the first ones. A new leader has those with a record, and those that a runner has reported; an earlier one of which no task had been started was never created.

Change: the job keeps up to which number its occurrences were released.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -125,6 +125,7 @@
 	begun    bool
 	occs     []*occurrence // those that are due or have progress
 	finished int           // complete occurrences
+	released int           // all occurrences before this one have been created
 	chain    time.Duration // estimated run time of the longest chain of tasks
 	total    float64       // estimated core-seconds of one occurrence
 	// version counts the changes of the progress; storedVersion is the version
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -157,18 +157,20 @@
 // job whose first due time is long past has all of them due at once.
 const maxOpenOccurrences = 100
 
-// releaseDue creates the occurrences that are due.
+// releaseDue creates the occurrences that are due. Some may exist, in any order: a
+// new leader creates those with progress, and those of which a runner reports a run.
 func (s *State) releaseDue(wall time.Time) {
 	for _, jobs := range s.open {
 		for _, js := range jobs {
 			if js.def.Repeats == 0 {
 				continue
 			}
-			for k := len(js.occs); k < js.def.Occurrences() && len(js.occs)-js.finished < maxOpenOccurrences; k++ {
-				if wall.Add(s.Limits.EarlyStart / 2).Before(js.def.Due(k)) {
+			for js.released < js.def.Occurrences() && len(js.occs)-js.finished < maxOpenOccurrences {
+				if wall.Add(s.Limits.EarlyStart / 2).Before(js.def.Due(js.released)) {
 					break
 				}
-				js.occurrence(k)
+				js.occurrence(js.released)
+				js.released++
 			}
 		}
 	}
