sched: drop the complete occurrences of a scheduled job

Cause: the record, which is one value in the store and written whole at each change, had an entry for each task of each occurrence, also of the complete ones. So had the leader's memory.

Change: once the complete occurrences of a job have more than 5,000 tasks, they are dropped, and the record has ranges of their numbers. Entries remain for tasks of which an earlier attempt may still return a result: it has to be withheld.

The recorded encodings of progress are unchanged; one with ranges is added.

--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -34,7 +34,7 @@
 	on      int // runner, or -1
 	since   clock.BootTime
 	counted bool // the start of the run is unresolved
-	crashes int // by the runners' count
+	crashes int  // by the runners' count
 	unseen  int
 	late    int // starts after the third crash
 	ended   bool
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -43,11 +43,15 @@
 }
 
 // Progress is the durable record of a job's progress. The leader writes it. A
-// task without an entry in Tasks has no recorded attempt.
+// task without an entry in Tasks has no recorded attempt, or is done as part of a
+// complete occurrence.
 type Progress struct {
 	Outcome Outcome        `cbor:"1,keyasint,omitempty"`
 	Started bool           `cbor:"2,keyasint,omitempty"` // a task has been started
 	Tasks   []TaskProgress `cbor:"3,keyasint,omitempty"`
+	// Complete has the complete occurrences of which Tasks has only the tasks with
+	// an earlier attempt that may still return a result.
+	Complete Ranges `cbor:"4,keyasint,omitempty"`
 }
 
 // HasFailed reports whether the failure of an attempt is already counted.
@@ -96,5 +100,8 @@
 	if p.Outcome < Open || p.Outcome > Cancelled {
 		return nil, errors.Errorf("decode progress: outcome %d out of range", p.Outcome)
 	}
+	if err := p.Complete.check(); err != nil {
+		return nil, errors.Wrap(err, "decode progress: complete occurrences")
+	}
 	return &p, nil
 }
--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -18,6 +18,8 @@
 	j.Steps[0].DependsOn, j.Steps[1].DependsOn = nil, []int{0}
 	recorded.RoundTripOf(f, "job", j, EncodeJob, DecodeJob)
 	p := recorded.New[*Progress]()
+	recorded.RoundTripOf(f, "progress-with-ranges", p, EncodeProgress, DecodeProgress)
+	p.Complete = nil
 	for p.Outcome = Completed; p.Outcome <= Cancelled; p.Outcome++ {
 		recorded.RoundTripOf(f, "progress-"+p.Outcome.String(), p, EncodeProgress, DecodeProgress)
 	}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,6 +63,9 @@
 	// possibleResult is set if the lease of a run expired while its runner was
 	// unreachable, so that the run may have ended as done.
 	possibleResult bool
+	// unreported is set once the task was started although an earlier run may have
+	// ended as done, or if that is not known.
+	unreported bool
 	// reserved is the attempt number of the next run, stored with the job's
 	// progress of version reservedVersion or later; 0: none. So is the record
 	// of a suspect.
@@ -123,8 +127,12 @@
 	// begun is set once a runner has confirmed a run. Callers count a job as
 	// waiting until then: a start may be lost with its runner.
 	begun    bool
-	occs     []*occurrence // those that are due or have progress
+	occs     []*occurrence // those that are due or have progress, but for dropped ones
 	finished int           // complete occurrences
+	// dropped are the complete occurrences that are no longer in occs; retried has
+	// the attempts of those of their tasks whose earlier results must be withheld.
+	dropped  job.Ranges
+	retried  map[job.Task]int
 	released int           // all occurrences before this one have been created
 	chain    time.Duration // estimated run time of the longest chain of tasks
 	total    float64       // estimated core-seconds of one occurrence
@@ -155,6 +163,7 @@
 			t := &task{job: js, step: s, name: job.Task{Job: js.def.ID, Occ: n, Step: i, Index: k}}
 			if p := js.storedTasks[t.name]; p != nil {
 				t.done, t.failed, t.attempt, t.checkpoint = p.Done, p.Failed, p.Attempt, p.Checkpoint
+				t.unreported = p.Attempt > 1
 				t.crashes = crash.Record{Crashes: p.Crashes, Immediate: p.Crashes, Suspect: p.Suspect, Unresolved: p.Unresolved}
 				if t.done {
 					s.done++
@@ -182,9 +191,64 @@
 	if name.Occ >= js.def.Occurrences() || name.Step >= len(js.def.Steps) || name.Index >= js.def.Steps[name.Step].Count {
 		return nil
 	}
+	if js.dropped.Has(name.Occ) {
+		return nil
+	}
 	return js.occurrence(name.Occ).steps[name.Step].tasks[name.Index]
 }
 
+// maxCompleteTasks is how many tasks of complete occurrences a job keeps. The
+// record of a job is written whole at each change, and its size is limited.
+const maxCompleteTasks = 5000
+
+// openOccurrences returns how many occurrences are in progress.
+func (js *jobState) openOccurrences() int {
+	return len(js.occs) - (js.finished - js.dropped.Len())
+}
+
+// dropComplete drops the complete occurrences of a job once they have many tasks.
+func (js *jobState) dropComplete() {
+	perOccurrence := 0
+	for i := range js.def.Steps {
+		perOccurrence += js.def.Steps[i].Count
+	}
+	if (len(js.occs)-js.openOccurrences())*perOccurrence <= maxCompleteTasks {
+		return
+	}
+	js.occs = slices.DeleteFunc(js.occs, func(o *occurrence) bool {
+		if o.done < len(o.steps) || o.live() {
+			return false
+		}
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if t.unreported {
+					js.retry(t.name, t.attempt)
+				}
+			}
+		}
+		js.dropped = js.dropped.Add(o.n)
+		return true
+	})
+}
+
+// retry records the attempts of a task of a dropped occurrence.
+func (js *jobState) retry(name job.Task, attempt int) {
+	if js.retried == nil {
+		js.retried = make(map[job.Task]int)
+	}
+	js.retried[name] = attempt
+}
+
+// live reports whether a run of the occurrence may exist.
+func (o *occurrence) live() bool {
+	for _, st := range o.steps {
+		if slices.ContainsFunc(st.tasks, (*task).live) {
+			return true
+		}
+	}
+	return false
+}
+
 // estimate computes the longest chain and the total work of one occurrence.
 func (js *jobState) estimate() {
 	ends := make([]time.Duration, len(js.def.Steps))
@@ -234,7 +298,13 @@
 // progress returns the durable record. That of a closed job keeps the attempts
 // that a later term needs to withhold the results of earlier ones.
 func (js *jobState) progress() *job.Progress {
-	p := &job.Progress{Outcome: js.outcome, Started: js.started}
+	p := &job.Progress{Outcome: js.outcome, Started: js.started, Complete: slices.Clone(js.dropped)}
+	for name, attempt := range js.retried {
+		p.Tasks = append(p.Tasks, job.TaskProgress{Occ: name.Occ, Step: name.Step, Index: name.Index, Done: true, Attempt: attempt})
+	}
+	slices.SortFunc(p.Tasks, func(a, b job.TaskProgress) int {
+		return cmp.Or(cmp.Compare(a.Occ, b.Occ), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
 	closed := js.outcome != job.Open
 	for _, o := range js.occs {
 		for _, s := range o.steps {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -165,11 +165,14 @@
 			if js.def.Repeats == 0 {
 				continue
 			}
-			for js.released < js.def.Occurrences() && len(js.occs)-js.finished < maxOpenOccurrences {
+			js.dropComplete()
+			for js.released < js.def.Occurrences() && js.openOccurrences() < maxOpenOccurrences {
 				if wall.Add(s.Limits.EarlyStart / 2).Before(js.def.Due(js.released)) {
 					break
 				}
-				js.occurrence(js.released)
+				if !js.dropped.Has(js.released) {
+					js.occurrence(js.released)
+				}
 				js.released++
 			}
 		}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -72,6 +72,9 @@
 	}
 	t := js.task(res.Task)
 	if t == nil {
+		if attempt, ok := js.retried[res.Task]; ok && res.Cause == runner.Done && !js.def.Steps[res.Task.Step].Speculative {
+			s.withhold(rs, res, attempt)
+		}
 		return nil
 	}
 	r := rs.runs[res.Task]
@@ -84,7 +87,9 @@
 		t.checkpoint = res.Checkpoint
 	}
 	if res.Cause == runner.Done {
-		s.withhold(rs, t, res)
+		if !t.step.spec.Speculative && !t.step.spec.LongRunning {
+			s.withhold(rs, res, t.attempt)
+		}
 		t.attempt = max(t.attempt, res.Attempt)
 	}
 	if !js.open() {
@@ -113,17 +118,17 @@
 }
 
 // withhold prevents the acknowledgment of a result as done if the task was
-// started again since, because the lease of the run had expired as far as this
-// leader could tell. If the result were acknowledged, the later run would break
-// the rule that a task that is done does not run again; unacknowledged, the
-// result never counts. The runner is not used again in this incarnation, because
-// none of its later results can be acknowledged.
-func (s *State) withhold(rs *runnerState, t *task, res *runner.RunResult) {
-	if rs.withheld != 0 || t.attempt <= res.Attempt || t.step.spec.Speculative || t.step.spec.LongRunning {
+// started again since, with the attempt started, because the lease of the run had
+// expired as far as this leader could tell. If the result were acknowledged, the
+// later run would break the rule that a task that is done does not run again;
+// unacknowledged, the result never counts. The runner is not used again in this
+// incarnation, because none of its later results can be acknowledged.
+func (s *State) withhold(rs *runnerState, res *runner.RunResult, started int) {
+	if rs.withheld != 0 || started <= res.Attempt {
 		return
 	}
 	rs.withheld = res.Seq
-	s.Logger.Log("msg", "result withheld, task was started again", "runner", rs.ID, "task", t.name, "attempt", res.Attempt, "started", t.attempt, "n", res.Seq)
+	s.Logger.Log("msg", "result withheld, task was started again", "runner", rs.ID, "task", res.Task, "attempt", res.Attempt, "started", started, "n", res.Seq)
 }
 
 // recordDone records that a task is done.
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -163,9 +163,16 @@
 	if p != nil {
 		js.outcome, js.started = p.Outcome, p.Started
 		js.storedTasks = make(map[job.Task]*job.TaskProgress, len(p.Tasks))
+		js.dropped = slices.Clone(p.Complete)
+		js.finished = js.dropped.Len()
 		for i := range p.Tasks {
 			t := &p.Tasks[i]
-			js.storedTasks[job.Task{Job: j.ID, Occ: t.Occ, Step: t.Step, Index: t.Index}] = t
+			name := job.Task{Job: j.ID, Occ: t.Occ, Step: t.Step, Index: t.Index}
+			if js.dropped.Has(t.Occ) {
+				js.retry(name, t.Attempt)
+			} else {
+				js.storedTasks[name] = t
+			}
 		}
 	}
 	if s.cfg != nil {
