lead: a progress record that is too large ends its job alone

Change: a record above value-bytes of the settings is not sent. Its job ends as failed, and the record of its end leaves out the tasks if it is too large as well.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -103,6 +103,7 @@
 			MaxRunnerLease: s.Bounds.MaxRunnerLease, Settle: s.Bounds.StopTime + settleMargin, OutcomeRetention: s.Bounds.OutcomeRetention, EarlyStart: s.Bounds.EarlyStart,
 			MaintenanceTime: s.Bounds.MaintenanceTime, MoveTime: s.Bounds.MoveTime, MachineTakeover: s.Bounds.MachineLease,
 		},
+		MaxValue:         s.MaxValue,
 		RelativeCapacity: relativeCapacity,
 		RelativeCores:    min(s.Cores/referenceCores, 1),
 		Logger:           log.With(logger, "part", "lead"),
--- a/internal/lead/flush.go
+++ b/internal/lead/flush.go
@@ -79,28 +79,41 @@
 	if len(rows) == 0 {
 		return 0, nil
 	}
+	n := len(rows)
 	txn := kv.Txn{Conds: []kv.Cond{{Key: job.LeaderKey, Rev: kv.Revision(t.id)}}}
+	var fits []sched.ProgressRow
 	for _, r := range rows {
 		b, err := job.EncodeProgress(r.Progress)
 		if err != nil {
 			return 0, err
 		}
+		if t.cfg.MaxValue > 0 && len(b) > t.cfg.MaxValue {
+			// The store would reject the progress of all jobs in the transaction.
+			t.mu.Lock()
+			t.state.ProgressTooLarge(r.ID, len(b), clock.Now())
+			t.mu.Unlock()
+			continue
+		}
+		fits = append(fits, r)
 		key := job.ProgressKey(r.ID)
 		txn.Conds = append(txn.Conds, kv.Cond{Key: key, Rev: kv.Revision(r.Rev)})
 		txn.Writes = append(txn.Writes, kv.Write{Key: key, Value: b})
 	}
+	if len(fits) == 0 {
+		return n, nil
+	}
 	rev, err := t.cfg.Store.Commit(ctx, txn)
 	var conflict *kv.Conflict
 	if errors.As(err, &conflict) {
-		return len(rows), t.resolve(conflict, rows)
+		return n, t.resolve(conflict, fits)
 	}
 	if err != nil {
 		return 0, errors.Wrap(err, "store progress")
 	}
 	t.mu.Lock()
-	t.state.ProgressStored(rows, rev)
+	t.state.ProgressStored(fits, rev)
 	t.mu.Unlock()
-	return len(rows), nil
+	return n, nil
 }
 
 // recordInterval returns the time between two writes of the roster and of the
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -83,6 +83,8 @@
 	// CurrentConfig returns the active configuration, or nil.
 	CurrentConfig func() *job.Config
 	Limits        sched.Limits
+	// MaxValue is the largest value that the store holds, in bytes; zero: no limit.
+	MaxValue int
 	// RelativeCapacity is the processor and link capacity of this host relative
 	// to a reference host. Hosts with less capacity campaign later.
 	RelativeCapacity float64
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// ProgressTooLarge ends a job whose progress is larger than the store holds. If the
+// record of its end is too large as well, the tasks are left out of it.
+func (s *State) ProgressTooLarge(id job.ID, size int, now clock.BootTime) {
+	js := s.jobs[id]
+	if js == nil {
+		return
+	}
+	s.Logger.Log("msg", "progress too large for the store", "job", id, "bytes", size, "outcome", js.outcome)
+	if js.open() {
+		s.close(js, job.Failed, "progress too large for the store", now)
+		return
+	}
+	js.withoutTasks = true
+	s.markChanged(js)
+}
+
 // ProgressConflict records the revision of a job's stored progress after a
 // transaction whose outcome was unknown. The progress is stored again.
 func (s *State) ProgressConflict(id job.ID, rev kv.Revision) {
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -142,6 +142,7 @@
 	dirty                  bool           // in State.dirty
 	rev                    kv.Revision    // of the progress in the store; 0: none
 	closed                 clock.BootTime // when the outcome was set
+	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
 	isolatedOn             *runnerState // isolated for its suspects; nil: none
 }
@@ -298,6 +299,9 @@
 // progress returns the durable record. That of a closed job keeps the attempts
 // that a later term needs to withhold the results of earlier ones.
 func (js *jobState) progress() *job.Progress {
+	if js.withoutTasks {
+		return &job.Progress{Outcome: js.outcome, Started: js.started}
+	}
 	p := &job.Progress{Outcome: js.outcome, Started: js.started, Complete: slices.Clone(js.dropped)}
 	for name, attempt := range js.retried {
 		p.Tasks = append(p.Tasks, job.TaskProgress{Occ: name.Occ, Step: name.Step, Index: name.Index, Done: true, Attempt: attempt})
