sched: keep the attempts of a job whose route is dropped

Cause: maxAttempts returned one for a job whose queue the present configuration does not have.

Change: a job keeps the attempts of the last configuration with its queue.

TestDroppedRouteFailsJob failed before ("outcome failed after 1 failed runs, want open: the queue allows 3").

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -117,13 +117,15 @@
 
 // jobState is a job with its progress.
 type jobState struct {
-	def        *job.Job
-	queue      *job.Queue // nil if it is not configured
-	created    kv.Revision
-	acceptedAt clock.BootTime // acceptance time
-	outcome    job.Outcome
-	cancelled  bool
-	started    bool // a task was scheduled
+	def   *job.Job
+	queue *job.Queue // nil if it is not configured
+	// maxAttempts is that of the last configuration that had the queue.
+	maxAttempts int
+	created     kv.Revision
+	acceptedAt  clock.BootTime // acceptance time
+	outcome     job.Outcome
+	cancelled   bool
+	started     bool // a task was scheduled
 	// begun is set once a runner has confirmed a run. Callers count a job as
 	// waiting until then: a start may be lost with its runner.
 	begun    bool
@@ -147,6 +149,14 @@
 	isolatedOn             *runnerState // isolated for its suspects; nil: none
 }
 
+// configure applies a configuration.
+func (js *jobState) configure(c *job.Config) {
+	js.queue = c.Queues[js.def.Queue]
+	if js.queue != nil {
+		js.maxAttempts = js.queue.MaxAttempts
+	}
+}
+
 func (js *jobState) open() bool { return js.outcome == job.Open && !js.cancelled }
 
 // occurrence returns the n-th occurrence, creating it if needed.
--- a/internal/sched/rules_test.go
+++ b/internal/sched/rules_test.go
@@ -281,3 +281,27 @@
 		t.Errorf("next term acknowledges result %d, of the first run", p.Acked)
 	}
 }
+
+// TestDroppedRouteFailsJob guards against a job that fails after one failed run,
+// though its queue allows more, because its route was dropped for a while.
+func TestDroppedRouteFailsJob(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job1)
+	first := ofKind(f.plan(), StartRun)[0]
+	f.accept([]Command{first})
+	services := []*job.Service{{Name: "pool", EnforcesCapacity: true}}
+	f.s.Configure(job.NewConfig(2, nil, services, job.Limits{}))
+	for attempt := 1; attempt <= 3; attempt++ {
+		if got := f.outcome(id); got != job.Open {
+			t.Fatalf("outcome %v after %d failed runs, want open: the queue allows 3", got, attempt-1)
+		}
+		f.end("a", first.Task, attempt, runner.Failed)
+		f.report("a")
+		f.now += second
+		f.accept(f.plan())
+	}
+	if got := f.outcome(id); got != job.Failed {
+		t.Errorf("outcome %v after 3 failed runs, want failed", got)
+	}
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -100,7 +100,7 @@
 func (s *State) Configure(c *job.Config) {
 	s.cfg = c
 	for _, js := range s.jobs {
-		js.queue = c.Queues[js.def.Queue]
+		js.configure(c)
 	}
 	for svc, jobs := range s.open {
 		kept := jobs[:0:0]
@@ -129,13 +129,9 @@
 	return js.def.Service
 }
 
-// maxAttempts returns how many failed runs of a task make its job fail.
-func (s *State) maxAttempts(js *jobState) int {
-	if q := js.queue; q != nil {
-		return q.MaxAttempts
-	}
-	return 1
-}
+// maxAttempts returns how many failed runs of a task make its job fail: by the last
+// configuration that had its queue, or one if this term has seen none.
+func (s *State) maxAttempts(js *jobState) int { return max(js.maxAttempts, 1) }
 
 // InputCurrent records that all jobs accepted up to now, and up to a revision,
 // have been read from the store.
@@ -176,7 +172,7 @@
 		}
 	}
 	if s.cfg != nil {
-		js.queue = s.cfg.Queues[j.Queue]
+		js.configure(s.cfg)
 	}
 	s.jobs[j.ID] = js
 	if js.outcome != job.Open {
@@ -210,7 +206,7 @@
 	}
 	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now, started: true}
 	if s.cfg != nil {
-		js.queue = s.cfg.Queues[j.Queue]
+		js.configure(s.cfg)
 	}
 	s.jobs[j.ID] = js
 	s.close(js, job.Failed, "progress cannot be decoded", now)
