sched: a later wave does not complete an earlier one

Cause: an intent has the last accepted wave of a machine, and a new leader took all waves up to it for accepted. Waves overlap, so that a machine may have had only the later one.

Change: only the wave that the intent names counts. The command of another one is sent again, which has no effect if it was carried out.

TestLaterWaveCompletesEarlier failed before ("commands [], want the maintenance of wave 1").

--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -95,7 +95,7 @@
 func (s *State) newMaintenance(w *wave, id machine.ID, now clock.BootTime) *maintenance {
 	m := &maintenance{id: id, wave: w}
 	switch in, ok := s.intents[id]; {
-	case ok && in.AcceptedWave >= w.Number:
+	case ok && in.AcceptedWave == w.Number: // a later wave does not tell whether this one was accepted
 		// The store may still have the entry of the runner that the maintenance
 		// ended, so that only time or the list of machines shows the return of
 		// the machine.
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -276,3 +276,26 @@
 	f.flush()
 	f.wantNoStart("after a command that the machine had carried out before")
 }
+
+// TestLaterWaveCompletesEarlier guards against a wave that a new leader completes
+// without some of its machines, because they have had the maintenance of a later
+// wave.
+func TestLaterWaveCompletesEarlier(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.IntentsStored(map[machine.ID]Intent{"m-a": {AcceptedWave: 2}})
+	f.runner("a")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	if got := f.maintenances(); len(got) != 1 || got[0].Wave != 1 {
+		t.Errorf("commands %v, want the maintenance of wave 1", got)
+	}
+	for range 20 {
+		f.now += second
+		f.report("a")
+		f.plan()
+	}
+	for _, st := range f.s.WaveStatuses() {
+		if st.Number == 1 && st.Completed {
+			t.Error("wave 1 counts as completed")
+		}
+	}
+}
