lead: wait for the runners of an ended leader from its end on

Cause: a new leader starts no task of earlier terms that no runner reports while a runner of the roster has not replied and its lease may last. The former leader may extend leases for 5 s without the store, so that the wait is 11.3 s, also if its process has ended.

Change: each term records in the store who leads. A daemon that connects to the new leader as a relay names its process; one that is not the recorded process, but of the same daemon, shows that this one has ended, if it replies to the new leader since its campaign. Leases of runners that the former leader had reached then end at most 6.3 s after that. The roster must be of that leader: otherwise an earlier one, which is not fenced, may still extend leases.

The hello of a relay has an optional field; earlier versions ignore it, and from them nothing follows. The store has one key more.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/entry"
 	"gypsumtrestle.example/gypsumtrestle/internal/lead"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
@@ -86,6 +87,9 @@
 		Direct: runners, Logger: log.With(logger, "part", "relay"),
 		CallDirectly: func() bool { return d.leader.PolledRunners() <= directLimit },
 		Runners:      func() int { return d.leader.PolledRunners() },
+		Replied: func(name, incarnation string, at clock.BootTime) {
+			d.leader.DaemonReplied(name, incarnation, at)
+		},
 	}
 	relativeCapacity := min(s.Cores/referenceCores, s.LinkMbps/referenceLinkMbps, 1)
 	d.leader = lead.New(lead.Config{
@@ -109,7 +113,7 @@
 		Logger:           log.With(logger, "part", "lead"),
 	})
 	d.relay = &relay.Worker{
-		Name: s.Name, Zone: s.Zone, RelativeCapacity: relativeCapacity, Leader: d.leader.RemoteLeader, Runners: runners,
+		Name: s.Name, Incarnation: d.incarnation, Zone: s.Zone, RelativeCapacity: relativeCapacity, Leader: d.leader.RemoteLeader, Runners: runners,
 		Logger: log.With(logger, "part", "relay"),
 	}
 	d.callerAPI = &platform.CallerAPI{
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -15,6 +15,7 @@
 	JobPrefix      = "gt/in/job/"
 	CancelPrefix   = "gt/in/cancel/"
 	LeaderKey      = "gt/in/leader"
+	TermKey        = "gt/term" // who had the leader key last
 	ProgressPrefix = "gt/progress/"
 	RosterKey      = "gt/roster"
 	MachinesKey    = "gt/machines"
--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -25,7 +25,7 @@
 	}
 
 	recorded.Open(t, "recorded.txt").Check("keys", []byte(strings.Join([]string{
-		Prefix, InputPrefix, JobPrefix, CancelPrefix, LeaderKey, ProgressPrefix, RosterKey, MachinesKey, WavePrefix,
+		Prefix, InputPrefix, JobPrefix, CancelPrefix, LeaderKey, ProgressPrefix, RosterKey, MachinesKey, WavePrefix, TermKey,
 		Key(id), CancelKey(id), ProgressKey(id), WaveKey(7),
 	}, " ")))
 }
--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -86,9 +86,13 @@
 	if err != nil {
 		return errors.Wrap(err, "campaign")
 	}
+	last, err := l.cfg.Store.Get(ctx, job.TermKey)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return errors.Wrap(err, "campaign")
+	}
 	rev, err := l.cfg.Store.Commit(ctx, kv.Txn{
-		Conds:  []kv.Cond{{Key: job.LeaderKey}},
-		Writes: []kv.Write{{Key: job.LeaderKey, Value: value, Lease: lease}},
+		Conds:  []kv.Cond{{Key: job.LeaderKey}, {Key: job.TermKey, Rev: last.Rev}},
+		Writes: []kv.Write{{Key: job.LeaderKey, Value: value, Lease: lease}, {Key: job.TermKey, Value: value}},
 	})
 	var conflict *kv.Conflict
 	switch {
@@ -108,7 +112,27 @@
 		return errors.Wrap(err, "campaign")
 	}
 	l.setHolder(&l.cfg.Self)
-	return l.lead(ctx, runner.Term(rev), lease, ttl, sent)
+	return l.lead(ctx, runner.Term(rev), lease, ttl, sent, l.decodePrevious(last))
+}
+
+// previousTerm is the term before this one.
+type previousTerm struct {
+	Holder
+	id runner.Term
+}
+
+// decodePrevious decodes the record of the previous term. It returns nil if there is
+// none.
+func (l *Leader) decodePrevious(it kv.Item) *previousTerm {
+	if it.Rev == 0 {
+		return nil
+	}
+	var h Holder
+	if err := cbor.Unmarshal(it.Value, &h); err != nil {
+		l.cfg.Logger.Log("msg", "record of the previous term decoding failed", "rev", int64(it.Rev), "err", err)
+		return nil
+	}
+	return &previousTerm{Holder: h, id: runner.Term(it.Rev)}
 }
 
 const (
@@ -129,7 +153,7 @@
 }
 
 // lead runs one term until the leadership is lost or the context ends.
-func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, requested clock.BootTime) error {
+func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, requested clock.BootTime, previous *previousTerm) error {
 	logger := log.With(l.cfg.Logger, "term", int64(termID))
 	logger.Log("msg", "term started", "ttl", ttl)
 	limits := l.cfg.Limits
@@ -142,7 +166,7 @@
 	tctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := &term{
-		cfg: &l.cfg, id: termID, lease: lease, ttl: ttl, logger: logger, end: cancel,
+		cfg: &l.cfg, id: termID, lease: lease, ttl: ttl, logger: logger, end: cancel, campaignedAt: requested, previous: previous,
 		wakeup: make(chan struct{}, 1), policyQueries: make(chan sched.PolicyQuery, policyQueueSize), pollers: make(map[runner.ID]chan struct{}), pollerCount: &l.polledRunners,
 		machineLimiter: rate.NewLimiter(l.cfg.MachineCommandRate, machineBurst),
 		state:          sched.New(termID, clock.Now(), limits, logger),
@@ -151,7 +175,10 @@
 	// The state of the leader is long-lived, and collecting it costs time that
 	// decisions wait for. Other daemons keep the default and a small heap.
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
-	t.run(tctx, func() { l.current.Store(t) })
+	t.run(tctx, func() {
+		l.current.Store(t)
+		l.DaemonReplied(l.cfg.Self.Name, l.cfg.Self.Incarnation, clock.Now())
+	})
 	l.current.Store(nil)
 	logger.Log("msg", "term ended", "why", context.Cause(tctx))
 	if errors.Is(context.Cause(tctx), errUnreachable) {
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -96,6 +96,9 @@
 		t.state.InheritRoster(entries)
 	}
 	t.rosterRev = it.Rev
+	if t.previous != nil && runner.Term(it.Rev) < t.previous.id {
+		t.previous = nil // which runners it had reached is not known
+	}
 }
 
 // addJob adds an accepted job to the state.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -102,6 +102,7 @@
 	polledRunners atomic.Int64
 	mu            sync.Mutex
 	changed       chan struct{} // closed when the leader changes
+	replies       map[string]daemonReply
 	// yieldUntil is the boot-clock time before which the daemon does not
 	// campaign.
 	yieldUntil atomic.Int64
@@ -161,6 +162,48 @@
 	return ctx.Err()
 }
 
+// daemonReply is the last reply of a process of a daemon to this one.
+type daemonReply struct {
+	incarnation string
+	at          clock.BootTime // the reply came at this time or later
+}
+
+// DaemonReplied records that a process of a daemon replied to this one at or after
+// a time.
+func (l *Leader) DaemonReplied(name, incarnation string, at clock.BootTime) {
+	if incarnation == "" {
+		return // a daemon of an earlier version
+	}
+	l.mu.Lock()
+	if l.replies == nil {
+		l.replies = make(map[string]daemonReply)
+	}
+	l.replies[name] = daemonReply{incarnation, at}
+	l.mu.Unlock()
+	if t := l.current.Load(); t != nil {
+		l.checkPrevious(t)
+	}
+}
+
+// checkPrevious tells the state if the process of the previous leader has ended:
+// another process of that daemon has replied since its term.
+func (l *Leader) checkPrevious(t *term) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.previous == nil {
+		return
+	}
+	l.mu.Lock()
+	r, ok := l.replies[t.previous.Name]
+	l.mu.Unlock()
+	if !ok || r.incarnation == t.previous.Incarnation || !r.at.After(t.campaignedAt) {
+		return
+	}
+	t.logger.Log("msg", "process of the previous leader has ended", "leader", t.previous.Name, "incarnation", t.previous.Incarnation, "present", r.incarnation, "after", r.at.Sub(t.campaignedAt))
+	t.previous = nil
+	t.state.PreviousLeaderEnded(r.at)
+}
+
 // Query returns the status of a job. The bool reports whether this daemon leads;
 // if it does not, the status is empty.
 func (l *Leader) Query(id job.ID) (sched.Status, bool) {
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -43,7 +43,11 @@
 	rosterRev       kv.Revision
 	recordsStoredAt clock.BootTime
 	intentsRev      kv.Revision
-	expiryRetryAt   clock.BootTime // no deletion of expired jobs before this time
+	campaignedAt    clock.BootTime // the previous term had ended by then
+	// previous had the leader key in the previous term; nil if that is not known, or
+	// if its process is known to have ended.
+	previous      *previousTerm
+	expiryRetryAt clock.BootTime // no deletion of expired jobs before this time
 	// loaded is set once the state holds the records of previous terms.
 	loaded bool
 }
--- a/internal/relay/expiry_test.go
+++ b/internal/relay/expiry_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/coder/websocket"
+
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -263,3 +266,40 @@
 		t.Errorf("second poll: %+v, %v", rep, err)
 	}
 }
+
+// TestHelloCountsAsReply guards against a hello that was sent long before it is read,
+// by a process that has ended since, and is taken for a sign that this process lives.
+func TestHelloCountsAsReply(t *testing.T) {
+	p := newFixture(t).pool
+	replied := make(chan clock.BootTime, 10)
+	p.Replied = func(name, incarnation string, at clock.BootTime) {
+		if name != "stub" || incarnation != "i2" {
+			t.Errorf("reply of %s, incarnation %s", name, incarnation)
+		}
+		replied <- at
+	}
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	began := clock.Now()
+	c, _, err := websocket.Dial(t.Context(), srv.URL, nil) //nolint:bodyclose // the library closes it
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.CloseNow() })
+	if err := write(t.Context(), c, hello{Name: "stub", Incarnation: "i2", Zone: "a", RelativeCapacity: 1}); err != nil {
+		t.Fatal(err)
+	}
+	var b callBatch
+	if err := read(t.Context(), c, &b); err != nil {
+		t.Fatal(err)
+	}
+	if len(replied) > 0 {
+		t.Error("the hello counts as a reply")
+	}
+	if err := write(t.Context(), c, resultBatch{SentAt: relayTime(clock.Now())}); err != nil {
+		t.Fatal(err)
+	}
+	if at := <-replied; !at.After(began) || at.After(clock.Now()) {
+		t.Errorf("reply at %v, want one between %v and now", at, began)
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -53,6 +53,8 @@
 	Zone             string    `cbor:"2,keyasint"`
 	RelativeCapacity float64   `cbor:"3,keyasint"` // in (0, 1]; 1 is a reference host
 	SentAt           relayTime `cbor:"4,keyasint"`
+	// Incarnation identifies the process. Earlier versions do not send it.
+	Incarnation string `cbor:"5,keyasint,omitempty"`
 }
 
 // callBatch is a message of the leader.
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -45,6 +45,9 @@
 	// Runners returns the number of runners. It determines how many of the
 	// relays are used; if it is nil, all are.
 	Runners func() int
+	// Replied is called when a relay has replied to a message that was sent to it at
+	// a time or later; nil: it is not.
+	Replied func(name, incarnation string, at clock.BootTime)
 
 	mu     sync.Mutex
 	relays []*member // ordered by name
@@ -87,6 +90,7 @@
 	hctx, hcancel := context.WithTimeout(ctx, helloTimeout)
 	err := read(hctx, c, &m.hello)
 	hcancel()
+	helloAt := clock.Now()
 	if err == nil {
 		m.received(m.SentAt)
 		err = write(ctx, c, m.message(nil))
@@ -111,6 +115,10 @@
 			return
 		}
 		m.received(b.SentAt)
+		if p.Replied != nil {
+			// A relay sends results only after it has read the reply to its hello.
+			p.Replied(m.Name, m.Incarnation, helloAt)
+		}
 		rs := b.Results
 		if len(rs) > 0 {
 			m.timeouts.Store(0)
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -28,6 +28,7 @@
 // Worker executes calls for the leader at a daemon that does not lead.
 type Worker struct {
 	Name             string
+	Incarnation      string // of this process
 	Zone             string
 	RelativeCapacity float64
 	// Leader returns the address of the leader, or no address if there is no
@@ -84,6 +85,10 @@
 		return cause(cctx, err)
 	}
 	w.Logger.Log("msg", "relay connected to leader", "leader", leader, "exchange", time.Duration(relayTime(clock.Now())-openedAt))
+	// The first reply shows the leader that this process lives.
+	if err := write(cctx, c, resultBatch{SentAt: relayTime(clock.Now())}); err != nil {
+		return cause(cctx, err)
+	}
 	results := make(chan result, maxBatch)
 	ticker := time.NewTicker(readingPeriod)
 	defer ticker.Stop()
@@ -105,7 +110,7 @@
 
 // hello opens a connection and returns the first reading.
 func (w *Worker) hello(ctx context.Context, c *websocket.Conn, openedAt relayTime) (reading, error) {
-	if err := write(ctx, c, hello{Name: w.Name, Zone: w.Zone, RelativeCapacity: w.RelativeCapacity, SentAt: openedAt}); err != nil {
+	if err := write(ctx, c, hello{Name: w.Name, Incarnation: w.Incarnation, Zone: w.Zone, RelativeCapacity: w.RelativeCapacity, SentAt: openedAt}); err != nil {
 		return reading{}, err
 	}
 	rctx, cancel := context.WithTimeout(ctx, maxExchange)
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
@@ -38,3 +39,47 @@
 		}
 	})
 }
+
+// TestWaitForEndedLeader guards against long-running tasks that wait for runners
+// which are gone, for as long as the previous leader might have extended their leases
+// had its process not ended, and against an earlier start of those that another leader
+// may have extended.
+func TestWaitForEndedLeader(t *testing.T) {
+	open := RosterEntry{ID: "gone", Addr: info("gone", "pool").Addr, Incarnation: 1}
+	unreached := open
+	unreached.Remaining = 10 * time.Second
+	for _, c := range []struct {
+		name     string
+		entry    RosterEntry
+		ended    bool
+		min, max time.Duration
+	}{
+		{"the process has ended", open, true, 6300 * time.Millisecond, 7500 * time.Millisecond},
+		{"it may go on", open, false, 15 * time.Second, 17 * time.Second},
+		{"it had not reached the runner", unreached, true, 10 * time.Second, 12 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 200)
+			f.s.InheritRoster([]RosterEntry{c.entry})
+			f.runner("a")
+			f.job(1, job.Step{LongRunning: true})
+			began := f.now
+			f.now += second / 2
+			if c.ended {
+				f.s.PreviousLeaderEnded(f.now)
+			}
+			for f.now.Sub(began) < time.Minute {
+				f.now += second / 10
+				f.report("a")
+				f.s.ConfirmTerm(f.now)
+				f.s.RosterStored(f.s.Roster(f.now, false))
+				if len(ofKind(f.plan(), StartRun)) > 0 {
+					break
+				}
+			}
+			if waited := f.now.Sub(began); waited < c.min || waited > c.max {
+				t.Errorf("the task is started after %v, want between %v and %v", waited, c.min, c.max)
+			}
+		})
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -38,6 +38,7 @@
 // in this term.
 type inherited struct {
 	closed      bool
+	reached     bool // the runner had replied to the previous leader, which may have extended its lease
 	addr        netip.AddrPort
 	incarnation runner.Incarnation
 	until       clock.BootTime // no run of a previous term outlasts this time
@@ -58,14 +59,15 @@
 func (s *State) InheritRoster(entries []RosterEntry) {
 	for _, e := range entries {
 		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
-		if e.Closed || e.Remaining > 0 {
+		in.reached = !e.Closed && e.Remaining == 0
+		if !in.reached {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
 		}
 		for _, name := range e.Tasks {
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
-				in.closed = false
+				in.closed, in.reached = false, false
 				in.until = s.startedAt.Add(s.Limits.RunnerTakeover)
 				continue
 			}
@@ -88,6 +90,21 @@
 	s.RosterStored(entries)
 }
 
+// PreviousLeaderEnded records that the process of the previous leader had ended at a
+// time. It extended no lease after that, and the runners that it had reached reject
+// the commands of earlier leaders.
+func (s *State) PreviousLeaderEnded(at clock.BootTime) {
+	until := at.Add(s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20) // a runner's clock may be slow
+	n := 0
+	for _, in := range s.inherited {
+		if in.reached && in.until.After(until) {
+			in.until = until
+			n++
+		}
+	}
+	s.Logger.Log("msg", "wait for runners of the previous term shortened", "runners", n, "left", until.Sub(at))
+}
+
 // InheritUnknownRoster records that the roster of previous terms cannot be read:
 // tasks that were accepted before this term may run on unknown runners until
 // their leases have expired.
