sched: record for later terms that a lease expired unreported

Cause: the attempt of a run is stored before its start if an earlier run was abandoned and may still report a result. Only the term that had abandoned the run knew that; the roster no longer had its runner. A leader of the next term that could not store anything started the task, and the one after it, which reached the runner, acknowledged the earlier result.

Change: the roster has a mark as long as a runner whose runs were abandoned, or whose entry expired, has not replied. A term that inherits it stores attempts first, as the one that abandoned the runs.

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -136,6 +136,7 @@
 		if rs.expiredAt != 0 && s.confirmedAt.After(rs.expiredAt) {
 			for _, r := range runsOf(rs) {
 				s.runLost(r, "lease expired", now)
+				rs.unreported = true
 				r.task.possibleResult = true
 				if r.mayHaveBegun() {
 					rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -197,7 +197,7 @@
 		s.Logger.Log("msg", "runner reachable again", "runner", id, "runs", len(rep.Running))
 	}
 	first := !rs.replied
-	rs.replied, rs.unreachable, rs.lastReply = true, false, now
+	rs.replied, rs.unreachable, rs.unreported, rs.lastReply = true, false, false, now
 	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -34,6 +34,24 @@
 	Incarnation runner.Incarnation `cbor:"6,keyasint,omitempty"`
 }
 
+// unreportedMark is the roster entry which records that a lease expired and its
+// runner has not replied since, so that it may still report results of runs that were
+// abandoned.
+// An earlier version of the program takes it for a closed entry without tasks.
+var unreportedMark = RosterEntry{Closed: true, Remaining: remainingStep}
+
+// isMarked reports whether the roster needs the mark: the runs of a runner were
+// abandoned and it has not replied since, or the entry of one expired in this or a
+// previous term and a runner has not replied in this one.
+func (s *State) isMarked() bool {
+	for _, rs := range s.runners {
+		if rs.unreported || s.expiredUnreached && !rs.replied {
+			return true
+		}
+	}
+	return false
+}
+
 // inherited is a roster entry of a previous term whose runner has not replied
 // in this term.
 type inherited struct {
@@ -58,6 +76,10 @@
 // first plan of the term.
 func (s *State) InheritRoster(entries []RosterEntry) {
 	for _, e := range entries {
+		if e.equal(unreportedMark) && e.ID == unreportedMark.ID {
+			s.expiredUnreached = true
+			continue
+		}
 		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
 		in.reached = !e.Closed && e.Remaining == 0
 		if !in.reached {
@@ -158,6 +180,12 @@
 		}
 		n++
 	}
+	if s.isMarked() && s.inherited[unreportedMark.ID] == nil {
+		if _, found := s.storedRoster[unreportedMark.ID]; !found {
+			return true
+		}
+		n++
+	}
 	return n != len(s.storedRoster)
 }
 
@@ -186,6 +214,9 @@
 			entries = append(entries, in.entry(id, now))
 		}
 	}
+	if s.isMarked() && s.inherited[unreportedMark.ID] == nil {
+		entries = append(entries, unreportedMark)
+	}
 	slices.SortFunc(entries, func(a, b RosterEntry) int { return cmp.Compare(a.ID, b.ID) })
 	return entries
 }
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -60,6 +60,7 @@
 	isolated         *jobState      // only the suspects of this job are started; nil: no such limit
 	isolatedAt       clock.BootTime // when that began
 	abandoned        []abandonedRun
+	unreported       bool // runs were abandoned, of which it has not reported the results
 	lastReply        clock.BootTime
 }
 
--- a/internal/sched/withhold_test.go
+++ b/internal/sched/withhold_test.go
@@ -79,3 +79,65 @@
 	}
 	t.Error("the task is never started again")
 }
+
+// unrecordedStart returns whether a term starts a task on runner "b", before the store
+// holds its attempt, with the roster of the term before, in which the lease of "a"
+// expired.
+func (f *fixture) unrecordedStart(roster []RosterEntry, fail bool) bool {
+	f.s.InheritRoster(roster)
+	f.s.SetRunner(info("a", "pool"), f.now)
+	f.runner("b")
+	id := f.job(1, job1)
+	if fail {
+		f.end("b", job.Task{Job: id}, 1, runner.Failed)
+	}
+	for range 30 {
+		f.now += second
+		f.report("b")
+		f.s.ConfirmTerm(f.now)
+		if len(ofKind(f.plan(), StartRun)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestNextTermForgetsExpiredLease guards against a task that is done and started again
+// by a leader which cannot store its attempt: an earlier term had abandoned a run, whose
+// runner has not replied since, so that a later leader acknowledges its result.
+func TestNextTermForgetsExpiredLease(t *testing.T) {
+	open := []RosterEntry{{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1}}
+	for name, earlier := range map[string]func(f *fixture){
+		"its entry expired in the term before": func(f *fixture) {
+			f.s.InheritRoster(open)
+			f.s.SetRunner(info("a", "pool"), f.now)
+			f.runner("b")
+		},
+		"its lease expired in the term before": func(f *fixture) {
+			f.runner("a")
+			f.job(1, job1)
+			f.accept(f.plan())
+			f.s.PollFailed("a", f.now)
+			f.runner("b")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 200)
+			earlier(f)
+			for range 20 {
+				f.now += second
+				f.report("b")
+				f.s.ConfirmTerm(f.now)
+				f.plan()
+			}
+			roster := f.s.Roster(f.now, false)
+			f.s.RosterStored(roster)
+			if f.s.RosterChanged(f.now) {
+				t.Errorf("roster %v has just been stored and counts as changed", roster)
+			}
+			if next := newFixture(t, 300); next.unrecordedStart(roster, false) {
+				t.Error("the next term starts the task before the store holds its attempt")
+			}
+		})
+	}
+}
