sched: an earlier result does not exclude an unknown later run

Cause: a result of an earlier attempt was taken to show that no run of a previous term is unknown. A former leader may have started a later attempt, unrecorded, on a runner that this term has not reached. The task was started with the number of that attempt, so that its result was not told from the newer one.

Change: as long as the term has not started the task itself, it counts as one that may have an unknown run if a lease expired unreported.

TestEarlierResultHidesRun failed before.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -59,7 +59,7 @@
 	}
 	t.attempt = max(t.attempt, attempt)
 	t.unreported = t.unreported || s.mayHaveResult(t)
-	t.reserved, t.possibleResult = 0, false
+	t.reserved, t.possibleResult, t.scheduled = 0, false, true
 	s.commands = append(s.commands, Command{
 		Kind: StartRun, To: rs.target(), Task: t.name, Attempt: attempt, incarnation: rs.Incarnation,
 	})
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -60,6 +60,7 @@
 	avoid      []runner.ID    // runners on which it failed or stalled, used only if no other fits
 	retried    bool           // a slow or stalled run was given a copy or another attempt
 	endedAt    clock.BootTime // when its last run ended
+	scheduled  bool           // this term has scheduled a run
 	// possibleResult is set if the lease of a run expired while its runner was
 	// unreachable, so that the run may have ended as done.
 	possibleResult bool
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -17,7 +17,14 @@
 	if t.step.spec.LongRunning || t.step.spec.Speculative {
 		return false
 	}
-	return t.possibleResult || s.expiredUnreached && t.job.created < kv.Revision(s.Term) && t.endedAt == 0
+	return t.possibleResult || s.mayHaveUnknownRun(t)
+}
+
+// mayHaveUnknownRun reports whether a previous term may have started a run of a task
+// of which this one does not know, on a runner that it has not reached. That a run of
+// the task has ended does not tell: it may have been an earlier one.
+func (s *State) mayHaveUnknownRun(t *task) bool {
+	return s.expiredUnreached && t.job.created < kv.Revision(s.Term) && !t.scheduled
 }
 
 // reserve reports whether a run of a task may be started with an attempt
@@ -49,7 +56,7 @@
 	switch {
 	case t.reserved > 0:
 		return t.reserved
-	case s.mayHaveResult(t) && t.endedAt == 0:
+	case s.mayHaveUnknownRun(t):
 		return t.attempt + 2*inheritedAttemptGap // above the unrecorded ones of all previous terms
 	case t.job.created < kv.Revision(s.Term) && t.endedAt == 0:
 		return t.attempt + inheritedAttemptGap
--- a/internal/sched/withhold_test.go
+++ b/internal/sched/withhold_test.go
@@ -141,3 +141,12 @@
 		})
 	}
 }
+
+// TestEarlierResultHidesRun guards against the same where the result of an earlier
+// attempt is known, but not the run of a later one on a runner that was not reached.
+func TestEarlierResultHidesRun(t *testing.T) {
+	f := newFixture(t, 300)
+	if f.unrecordedStart([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1}}, true) {
+		t.Error("the task is started before the store holds its attempt")
+	}
+}
