--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -31,8 +31,8 @@
 // Runners also crash by themselves, alone or with their rack or zone. A task
 // that was started at such a moment is suspected, run apart and cleared. It is
 // given up only if the runner of its next run crashes as well, just after the
-// start, or those of MaxSharedCrashes runs within ProvenAfter. A run that goes on for ProvenAfter, or ends with a result, clears its
-// task.
+// start, or those of MaxSharedCrashes runs within ProvenAfter. A run that goes on
+// for ProvenAfter, or ends with a result, clears its task.
 //
 // # Change of leader
 //
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -101,8 +101,8 @@
 	// polledRunners is the number of runners that the current term polls.
 	polledRunners atomic.Int64
 	mu            sync.Mutex
-	changed       chan struct{} // closed when the leader changes
-	replies       map[string]daemonReply
+	changed       chan struct{}          // closed when the leader changes
+	replies       map[string]daemonReply // by the name of the daemon
 	// yieldUntil is the boot-clock time before which the daemon does not
 	// campaign.
 	yieldUntil atomic.Int64
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -30,5 +30,7 @@
 // term and that no runner reports, it therefore polls every runner of the
 // roster, which lists all runners that previous leaders may have used. If a
 // runner does not reply, the leader waits until its lease has expired, counted
-// from the last time at which a previous leader may have extended it.
+// from the last time at which a previous leader may have extended it. While a
+// runner may still report results of runs that were abandoned, the roster has a
+// mark, and a term that inherits it stores the attempt of a task before its start.
 package sched
