sched: move the isolation of suspects to a file of its own

Only moves: what decides on suspects stays, what chooses and frees the runners for them is in isolation.go. Tests pass as before.

--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -1,14 +1,11 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
-	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
-	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // abandonedRun is a run that was given up when the lease of its runner expired.
@@ -192,132 +189,6 @@
 	}
 }
 
-// isolationAllows reports whether a task may be started on a runner as far as
-// suspects are concerned: an isolated runner takes the suspects of one job only,
-// and they go nowhere else. It must have replied just before, because one that has
-// crashed silently would be taken for a victim of the suspect. The members of a
-// gang run at the same time, so that they only keep apart from the suspects of
-// other jobs.
-func (s *State) isolationAllows(rs *runnerState, t *task, now clock.BootTime) bool {
-	if rs.isolated != nil {
-		return rs.isolated == t.job && t.crashes.Suspect && rs.isQuiet() && now.Sub(rs.lastReply) <= maxSuspectReplyAge
-	}
-	return !t.crashes.Suspect || t.step.spec.Gang && !rs.hasSuspects(t.job)
-}
-
-// isQuiet reports whether a crash after the next start on an isolated runner
-// would concern only the job that it is isolated for.
-func (rs *runnerState) isQuiet() bool {
-	for _, r := range rs.runs {
-		if r.task.job != rs.isolated && crash.IsFresh(r.confirmedAt, rs.lastReply) {
-			return false
-		}
-	}
-	return true
-}
-
-// hasSuspects reports whether a suspect of another job has a run on the runner.
-func (rs *runnerState) hasSuspects(than *jobState) bool {
-	for _, r := range rs.runs {
-		if r.task.crashes.Suspect && r.task.job != than {
-			return true
-		}
-	}
-	return false
-}
-
-const (
-	// isolationDivisor bounds how many of a pool's usable runners are isolated at
-	// the same time, so that suspects do not take a pool from other work.
-	isolationDivisor = 2
-	// isolationTimeout is how long a runner waits for the start of its suspects. It
-	// includes the reply to a poll of an idle runner.
-	isolationTimeout = 2 * time.Second
-	// maxSuspectReplyAge is how old the last reply of a runner may be when a suspect
-	// is started there. The polls of an isolated runner do not wait, so that a longer
-	// silence means that it may have crashed.
-	maxSuspectReplyAge = 60 * time.Millisecond
-	// maxBusyReplyAge is the age that the last reply of a runner with runs reaches
-	// while the runner is well.
-	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
-)
-
-// planIsolation isolates runners for the jobs with suspects that wait, and frees
-// those on which the suspects have been started and did not crash it.
-func (s *State) planIsolation(now clock.BootTime) {
-	if len(s.suspected) == 0 {
-		return
-	}
-	isolated := make(map[string]int)
-	var waiting []*jobState
-	for js := range s.suspected {
-		waits, suspected := js.suspects()
-		if js.isolatedOn != nil && s.isolationOver(js, waits, now) {
-			js.isolatedOn.isolated, js.isolatedOn = nil, nil
-		}
-		switch {
-		case js.isolatedOn != nil:
-			if !js.isolatedOn.unreachable { // otherwise it does no other work either
-				isolated[s.service(js)]++
-			}
-		case !js.open() || !suspected:
-			delete(s.suspected, js)
-		case waits:
-			waiting = append(waiting, js)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
-	})
-	for _, js := range waiting {
-		pool := s.service(js)
-		runners := s.usableRunners(pool, now)
-		if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
-			continue
-		}
-		if rs := s.chooseIsolated(runners, js, now); rs != nil {
-			rs.isolated, rs.isolatedAt, js.isolatedOn = js, now, rs
-			s.newlyIsolated = append(s.newlyIsolated, rs.ID)
-			isolated[pool]++
-			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
-		}
-	}
-}
-
-// isolationOver reports whether a runner is no longer needed for the suspects of
-// a job: its incarnation has ended, it went on after their starts, or they cannot
-// be started there.
-func (s *State) isolationOver(js *jobState, waits bool, now clock.BootTime) bool {
-	rs := js.isolatedOn
-	if rs.isolated != js {
-		js.isolatedOn = &runnerState{} // of an incarnation that has ended
-		return true
-	}
-	started, fresh := false, false
-	for _, r := range rs.runs {
-		if r.task.job == js && r.task.crashes.Suspect {
-			started = true
-			fresh = fresh || crash.IsFresh(r.confirmedAt, rs.lastReply)
-		}
-	}
-	switch {
-	case !js.open() || rs.ended:
-	case started && fresh, rs.unreachable && started:
-		return false
-	case !started && waits && s.usable(rs, now) && now.Sub(rs.isolatedAt) < isolationTimeout:
-		return false
-	}
-	if started && !fresh {
-		for _, r := range runsOf(rs) {
-			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
-				s.setCrashes(t, t.crashes.WentOn())
-			}
-		}
-	}
-	s.Logger.Log("msg", "runner isolation ended", "runner", rs.ID, "job", js.def.ID, "open", js.open(), "started", started, "took", now.Sub(rs.isolatedAt))
-	return true
-}
-
 // suspects reports whether a job has suspects that wait for an isolated runner,
 // and whether it has any.
 func (js *jobState) suspects() (waits, suspected bool) {
@@ -334,66 +205,6 @@
 	return waits, suspected
 }
 
-// Isolated reports whether a runner is isolated.
-func (s *State) Isolated(id runner.ID) bool {
-	rs := s.runners[id]
-	return rs != nil && rs.isolated != nil
-}
-
-// NewlyIsolated returns the runners that were isolated since the last call. Their
-// next poll is due at once, because the suspects wait for its reply.
-func (s *State) NewlyIsolated() []runner.ID {
-	ids := s.newlyIsolated
-	s.newlyIsolated = nil
-	return ids
-}
-
-// chooseIsolated returns the runner on which a crash would end the fewest runs,
-// among those that replied lately if there are any, or nil. A runner that has
-// crashed silently has few runs.
-func (s *State) chooseIsolated(runners []*runnerState, js *jobState, now clock.BootTime) *runnerState {
-	for _, t := range s.startableSuspects(js, now) {
-		if js.storedVersion < t.reservedVersion {
-			continue // nor would the runner do any work while the store is down
-		}
-		var best *runnerState
-		for _, rs := range runners {
-			if rs.isolated != nil || !s.eligible(rs, t, now) {
-				continue
-			}
-			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), compareBool(best.heardLately(now), rs.heardLately(now)), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
-				best = rs
-			}
-		}
-		if best != nil {
-			return best
-		}
-	}
-	return nil
-}
-
-// heardLately reports whether a runner has replied as recently as one with runs does.
-func (rs *runnerState) heardLately(now clock.BootTime) bool {
-	return now.Sub(rs.lastReply) <= maxBusyReplyAge
-}
-
-// startableSuspects returns the first suspect of each step that could be started on
-// an isolated runner. The other suspects of the step have the same demand.
-func (s *State) startableSuspects(js *jobState, now clock.BootTime) []*task {
-	var ts []*task
-	for _, o := range js.occs {
-		for _, st := range o.steps {
-			if st.spec.Gang || st.idle == 0 || !o.ready(st) {
-				continue
-			}
-			if i := slices.IndexFunc(st.tasks, func(t *task) bool { return t.crashes.Suspect && s.startable(t, now) }); i >= 0 {
-				ts = append(ts, st.tasks[i])
-			}
-		}
-	}
-	return ts
-}
-
 // inheritCrashes records whether a previous term stored a suspect of a job.
 func (s *State) inheritCrashes(js *jobState) {
 	for _, p := range js.storedTasks {
