sched: plan after each reply of an isolated runner

Its runner was isolated again and again and the isolation timed out after 2 s ("started=false").

Cause: a suspect is sent at most 60 ms after a reply, and a reply that changes nothing led to no planning pass. The next one came by its timer, up to 100 ms later.

Change: a reply of an isolated runner leads to a pass. TestSuspectStartedBeforeReply checks that.

--- a/internal/sched/blame_test.go
+++ b/internal/sched/blame_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -112,7 +113,10 @@
 	if got := f.s.NewlyIsolated(); len(got) != 1 || got[0] != "a" {
 		t.Errorf("runners to poll at once %v, want a", got)
 	}
-	f.report("a")
+	f.now += second / 100
+	if !f.s.HandleReport(f.s.runners["a"].target(), f.now, f.now, &runner.Report{Incarnation: 1, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond))}) {
+		t.Error("the reply of the isolated runner does not lead to a planning pass, and it is outdated at the next one")
+	}
 	f.settle(3)
 	if !x.live() {
 		t.Error("the suspect has no run after the runner has replied")
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -222,7 +222,8 @@
 		s.Logger.Log("msg", "runner reached", "runner", id, "service", rs.Service, "runs", len(rs.runs), "ends", len(rep.Results))
 	}
 	rs.acknowledge()
-	return changed || rs.applied != applied || len(rs.runs) != runs
+	// Suspects are started only just after a reply, so that it must be planned for.
+	return changed || rs.applied != applied || len(rs.runs) != runs || rs.isolated != nil
 }
 
 // resultsPage is the maximum number of results in a report. Only a report with
