sched: log the long-running tasks that wait, and why

Cause: a long-running task without a run left its last line when it was given up or lost its runner; nothing told later that it waits, since when and what for, so that the hypotheses on the report of LOST could not be told apart. A gauge counts these tasks; the recorded metrics have it. Result: TestWaitingTaskUnreported; no decision changes.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -126,14 +126,52 @@
 
 // eligible reports whether a task may run on a runner, apart from isolation.
 func (s *State) eligible(rs *runnerState, t *task, now clock.BootTime) bool {
+	return s.obstacleTo(rs, t, now) == noObstacle
+}
+
+// obstacle is why a task may not run on a runner.
+type obstacle int
+
+const (
+	noObstacle  obstacle = iota
+	noRoom               // its free capacity is too small
+	otherLabel           // it lacks the label of the step
+	quarantined          // tasks fail there, or it is being probed
+	noPermit             // the policy of the queue has not allowed it
+	unusable             // see usable
+	presentRun           // it has a run of the task
+	held                 // it is held for long-running tasks
+	stepLimit            // it has as many tasks of the step as may run there
+	isolated             // it is isolated for a suspect, or the task is one and it is not
+	obstacles            // number of obstacles
+)
+
+func (o obstacle) String() string {
+	return [...]string{"", "full", "label", "quarantined", "permit", "unusable", "present", "held", "limit", "isolation"}[o]
+}
+
+// obstacleTo returns why a task may not run on a runner, apart from isolation.
+func (s *State) obstacleTo(rs *runnerState, t *task, now clock.BootTime) obstacle {
 	sp := t.step.spec
-	if !sp.Demand().Fits(rs.free()) || !rs.HasLabel(sp.Label) || !rs.health.allows(now, len(rs.runs)) || !s.permitted(rs, t.step, now) || !s.usable(rs, now) {
-		return false
-	}
-	if rs.runs[t.name] != nil || !sp.LongRunning && rs.heldUntil.After(now) {
-		return false
+	switch {
+	case !sp.Demand().Fits(rs.free()):
+		return noRoom
+	case !rs.HasLabel(sp.Label):
+		return otherLabel
+	case !rs.health.allows(now, len(rs.runs)):
+		return quarantined
+	case !s.permitted(rs, t.step, now):
+		return noPermit
+	case !s.usable(rs, now):
+		return unusable
+	case rs.runs[t.name] != nil:
+		return presentRun
+	case !sp.LongRunning && rs.heldUntil.After(now):
+		return held
+	case sp.PerRunner > 0 && runsOfStep(rs, t) >= sp.PerRunner:
+		return stepLimit
 	}
-	return sp.PerRunner == 0 || runsOfStep(rs, t) < sp.PerRunner
+	return noObstacle
 }
 
 // runsOfStep returns the number of runs of the same step on a runner.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -42,6 +42,7 @@
 	}
 	if full {
 		s.throttleBestEffort(now)
+		s.logWaiting(now)
 	}
 }
 
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -71,6 +71,8 @@
 	inputRev       kv.Revision         // revision up to which the input has been read
 	shortage       bool                // a pool has fewer machines than its timely work needs
 	poolsLoggedAt  clock.BootTime      // when the pools were last logged
+	waitLoggedAt   clock.BootTime      // when the waiting tasks were last logged
+	waiting        int                 // see Stats
 	arrivals       map[string]arrival  // by pool
 	maintained     map[machine.ID]bool // see indexMaintenances
 	unplaced       map[string]int      // long-running tasks that must leave and fit nowhere, by pool
@@ -299,11 +301,14 @@
 // Stats are sizes of the state, for metrics.
 type Stats struct {
 	Open, Jobs, Runners, Reachable, Runs int
+	// Waiting is how many long-running tasks were without a run for a while when
+	// they were last logged.
+	Waiting int
 }
 
 // Stats returns the sizes of the state.
 func (s *State) Stats() Stats {
-	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners)}
+	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting}
 	for _, jobs := range s.open {
 		c.Open += len(jobs)
 	}
--- /dev/null
+++ b/internal/sched/waiting_test.go
@@ -0,0 +1,47 @@
+package sched
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+// TestWaitingTaskUnreported guards against a long-running task that has no run
+// while the log does not tell so, or not why.
+func TestWaitingTaskUnreported(t *testing.T) {
+	for name, c := range map[string]struct {
+		step job.Step
+		want string
+	}{
+		"full":  {job.Step{LongRunning: true, Resources: job.Resources{CPU: 9000, Mem: 1}}, "full 1"},
+		"label": {job.Step{LongRunning: true, Label: "gpu"}, "label 1"},
+		"limit": {job.Step{Count: 2, LongRunning: true, PerRunner: 1}, "limit 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			var lines []string
+			f.s.Logger = log.LoggerFunc(func(kv ...any) error {
+				lines = append(lines, strings.TrimSuffix(fmt.Sprintln(kv...), "\n"))
+				return nil
+			})
+			f.runner("a")
+			f.job(1, c.step)
+			f.settle(1)
+			f.now += 4 * second
+			f.settle(3)
+			n := 0
+			for _, l := range lines {
+				if strings.HasPrefix(l, "msg long-running tasks wait ") && strings.Contains(l, " tasks 1 ") && strings.Contains(l, " why no runner ") && strings.HasSuffix(l, c.want) {
+					n++
+				}
+			}
+			if n != 1 || f.s.Stats().Waiting != 1 {
+				t.Errorf("%d lines end in %q and %d tasks wait, want one of each; lines %q", n, c.want, f.s.Stats().Waiting, lines)
+			}
+		})
+	}
+}
