sched: start long-running tasks again after a burst of crashes

Cause: four possible crashes within 3 s of starts gave a task up for good. Starts of which nothing is known counted as much as crashes, crashes that came with those of many other runners as much as one alone, and whether the whole job ended hung on what was at work in that instant. Class: a permanent decision from evidence that does not tell causes apart. Change: with two possible crashes, a long-running task is started only while its pool loses few runners, so that the starts that it has left tell whether it is to blame. The job ends only if the pool is calm, two crashes are certain and no task of it has worked well in this term.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -22,6 +22,9 @@
 	// MaxPossibleCrashes is after how many immediate crashes a task is given up if
 	// it is not known of all of them that they followed a start of the task.
 	MaxPossibleCrashes = 3
+	// MaxUncertainCrashes is after how many possible crashes a long-running task is
+	// given up if fewer than MaxCrashes of them are certain.
+	MaxUncertainCrashes = 5
 )
 
 // Record is what is known of the crashes of runners under a task. The zero value
@@ -43,6 +46,17 @@
 // Possible returns how many runners may have crashed under the task.
 func (r Record) Possible() int { return r.Crashes + r.Unresolved }
 
+// NeedsCalm reports whether a long-running task should be started only while few
+// other runners crash, because what it has left of its starts must tell whether it
+// crashes its runners.
+func (r Record) NeedsCalm() bool { return r.Possible() >= MaxCrashes }
+
+// Condemned reports whether a long-running task must not be started again though
+// others of its job are at work.
+func (r Record) Condemned() bool {
+	return r.Possible() >= MaxUncertainCrashes || r.Possible() >= MaxSharedCrashes && r.Crashes >= MaxCrashes
+}
+
 // Exhausted reports whether a suspect must not be started again, because too
 // many of its starts may have crashed a runner unseen.
 func (r Record) Exhausted() bool {
--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -69,7 +69,7 @@
 	isolated := make(map[string]int)
 	var waiting []*jobState
 	for js := range s.suspected {
-		waits, suspected := js.suspects()
+		waits, suspected := s.suspects(js, now)
 		if js.isolatedOn != nil && s.isolationOver(js, waits, now) {
 			js.isolatedOn.isolated, js.isolatedOn = nil, nil
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -18,6 +18,7 @@
 	if full {
 		s.lastFullPlan = now
 		s.recordIdle(now)
+		s.forgetLosses(now)
 		clear(s.usableByPool)
 		s.expireLeases(now)
 		s.resolveInherited()
@@ -186,5 +187,5 @@
 	if t.done || !t.job.open() || t.live() || t.notBefore.After(now) || t.isGivenUp() {
 		return false
 	}
-	return s.runsKnown(t)
+	return s.runsKnown(t) && !s.awaitsCalm(t, now)
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -122,6 +122,7 @@
 	}
 	rs.tryAnnounced = !rs.tryAnnounced
 	if !rs.unreachable {
+		s.recordLoss(rs, now)
 		rs.unreachable = true
 		s.Logger.Log("msg", "runner unreachable", "runner", id, "service", rs.Service, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 	}
@@ -249,6 +250,7 @@
 	r.percent, r.load = reported.Percent, reported.Load
 	if crash.IsProven(r.confirmedAt, now) {
 		s.clearCrashes(r.task)
+		r.task.proven = true
 	}
 	if reported.ReportsLoad {
 		r.recordLoad(now)
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -21,6 +21,7 @@
 	if rs.Draining || rs.cordoned || why != restarted && why != replaced {
 		return
 	}
+	s.recordLoss(rs, now)
 	var tasks []*task
 	var runs []crash.Run
 	add := func(t *task, confirmedAt clock.BootTime) {
@@ -108,17 +109,18 @@
 }
 
 // giveUp ends the job of a task that crashes its runners, the last one on the given
-// runner, and reports whether the task must not be started again. While other tasks
-// of a long-running job are at work, ending it would stop these, so only the task
-// is given up, and later.
+// runner, and reports whether the task must not be started again. A long-running
+// job goes on while it has a task that works well, which its end would stop, while
+// the pool loses runners for another cause, and while fewer than crash.MaxCrashes
+// crashes under the task are certain. Then only the task is given up, and later.
 func (s *State) giveUp(t *task, on *runnerState, now clock.BootTime) bool {
 	js := t.job
 	if !js.open() {
 		return true
 	}
-	if js.worksElsewhere(on) {
+	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.isCalm(s.service(js), now))) {
 		if t.isGivenUp() {
-			s.Logger.Log("msg", "task given up, others of its job are at work", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+			s.Logger.Log("msg", "task given up, its job goes on", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
 		}
 		return t.isGivenUp()
 	}
@@ -130,19 +132,25 @@
 // isGivenUp reports whether a long-running task is not started again, though its
 // job goes on.
 func (t *task) isGivenUp() bool {
-	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.Possible() >= crash.MaxSharedCrashes
+	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.Condemned()
 }
 
-// worksElsewhere reports whether a long-running task of a job is at work on another
-// runner than the given one.
-func (js *jobState) worksElsewhere(than *runnerState) bool {
+// awaitsCalm reports whether a long-running task is not started yet, because its
+// pool loses runners that it may not have crashed.
+func (s *State) awaitsCalm(t *task, now clock.BootTime) bool {
+	return t.step.spec.LongRunning && t.crashes.NeedsCalm() && !s.isCalm(s.service(t.job), now)
+}
+
+// hasWorkingTask reports whether a long-running task of a job is at work on another
+// runner than the given one, or has been in this term and may be started again.
+func (js *jobState) hasWorkingTask(than *runnerState) bool {
 	for _, o := range js.occs {
 		for _, st := range o.steps {
 			if !st.spec.LongRunning {
 				continue
 			}
 			for _, t := range st.tasks {
-				if slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase == running && r.runner != than }) {
+				if t.proven && !t.isGivenUp() || slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase == running && r.runner != than }) {
 					return true
 				}
 			}
@@ -191,13 +199,13 @@
 
 // suspects reports whether a job has suspects that wait for an isolated runner,
 // and whether it has any.
-func (js *jobState) suspects() (waits, suspected bool) {
+func (s *State) suspects(js *jobState, now clock.BootTime) (waits, suspected bool) {
 	for _, o := range js.occs {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				if t.crashes.Suspect && !t.done {
 					suspected = true
-					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp()
+					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp() && !s.awaitsCalm(t, now)
 				}
 			}
 		}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -92,6 +92,8 @@
 		return "retry not due"
 	case !s.runsKnown(t):
 		return "may run on a runner of the previous term"
+	case s.awaitsCalm(t, now):
+		return "runners of the pool are being lost"
 	case t.reserved != 0 && t.job.storedVersion < t.reservedVersion:
 		return "record not stored"
 	case t.crashes.Suspect && t.job.isolatedOn == nil:
@@ -116,7 +118,7 @@
 		count[o]++
 	}
 	kv := []any{"msg", "long-running tasks wait", "task", t.name, "tasks", g.tasks, "for", now.Sub(g.since), "why", g.why, "service", svc,
-		"crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved, "suspect", t.crashes.Suspect, "previous", len(s.inherited),
+		"crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved, "suspect", t.crashes.Suspect, "previous", len(s.inherited), "lost", len(s.losses[svc]),
 		"runners", len(s.byPool[svc]), "allowed", count[noObstacle]}
 	for o := noRoom; o < obstacles; o++ {
 		if count[o] > 0 {
