--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -66,20 +66,21 @@
 	waves          map[int]*wave
 	inheritedDues  map[int]time.Time // when the waves of previous terms are due
 	machineStates  map[machine.ID]*machineState
-	listedAt       clock.BootTime      // when the machines were last listed
-	inputCurrentAt clock.BootTime      // time up to which the input is complete
-	inputRev       kv.Revision         // revision up to which the input has been read
-	shortage       bool                // a pool has fewer machines than its timely work needs
-	poolsLoggedAt  clock.BootTime      // when the pools were last logged
-	waitLoggedAt   clock.BootTime      // when the waiting tasks were last logged
-	waiting        int                 // see Stats
-	arrivals       map[string]arrival  // by pool
-	maintained     map[machine.ID]bool // see indexMaintenances
-	unplaced       map[string]int      // long-running tasks that must leave and fit nowhere, by pool
-	standby        []*machineState     // see indexStandby
-	suspected      map[*jobState]bool  // open jobs that may have suspects
-	newlyIsolated  []runner.ID         // see NewlyIsolated
-	losses         map[string][]loss   // by pool, the earliest first; see isCalm
+	listedAt       clock.BootTime              // when the machines were last listed
+	inputCurrentAt clock.BootTime              // time up to which the input is complete
+	inputRev       kv.Revision                 // revision up to which the input has been read
+	shortage       bool                        // a pool has fewer machines than its timely work needs
+	poolsLoggedAt  clock.BootTime              // when the pools were last logged
+	waitLoggedAt   clock.BootTime              // when the waiting tasks were last logged
+	waiting        int                         // see Stats
+	arrivals       map[string]arrival          // by pool
+	maintained     map[machine.ID]bool         // see indexMaintenances
+	unplaced       map[string]int              // long-running tasks that must leave and fit nowhere, by pool
+	standby        []*machineState             // see indexStandby
+	suspected      map[*jobState]bool          // open jobs that may have suspects
+	newlyIsolated  []runner.ID                 // see NewlyIsolated
+	losses         map[string][]clock.BootTime // when runners crashed or fell silent, by pool
+	restless       map[string]bool             // by pool; see updateRestless
 	intents        map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
@@ -94,7 +95,7 @@
 		Term: t, Limits: l, Logger: logger, startedAt: now, inputCurrentAt: now,
 		jobs: make(map[job.ID]*jobState), open: make(map[string][]*jobState),
 		runners: make(map[runner.ID]*runnerState), byMachine: make(map[machine.ID]*runnerState), byPool: make(map[string][]*runnerState), usableByPool: make(map[string][]*runnerState), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), inheritedDues: make(map[int]time.Time), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), unplaced: make(map[string]int), suspected: make(map[*jobState]bool), losses: make(map[string][]loss), lastCommandEnd: make(map[machine.ID]clock.BootTime),
+		waves: make(map[int]*wave), inheritedDues: make(map[int]time.Time), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), unplaced: make(map[string]int), suspected: make(map[*jobState]bool), losses: make(map[string][]clock.BootTime), restless: make(map[string]bool), lastCommandEnd: make(map[machine.ID]clock.BootTime),
 	}
 }
 
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -117,9 +117,11 @@
 		}
 		count[o]++
 	}
-	kv := []any{"msg", "long-running tasks wait", "task", t.name, "tasks", g.tasks, "for", now.Sub(g.since), "why", g.why, "service", svc,
+	kv := []any{
+		"msg", "long-running tasks wait", "task", t.name, "tasks", g.tasks, "for", now.Sub(g.since), "why", g.why, "service", svc,
 		"crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved, "suspect", t.crashes.Suspect, "previous", len(s.inherited), "lost", len(s.losses[svc]),
-		"runners", len(s.byPool[svc]), "allowed", count[noObstacle]}
+		"runners", len(s.byPool[svc]), "allowed", count[noObstacle],
+	}
 	for o := noRoom; o < obstacles; o++ {
 		if count[o] > 0 {
 			kv = append(kv, o.String(), count[o])
