sched: do not count the start that waits for a calm pool

Cause: the start of a suspect is counted before it is sent, so that a task under which one runner had crashed had two possible crashes as soon as its next start was reserved, and waited for a calm pool. Change: the count of the start in question is left out. Result: TestSecondStartAwaitsCalm failed before ("runs 0, calm false, want a run while the pool is not calm").

--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -182,3 +182,24 @@
 		}
 	}
 }
+
+// TestSecondStartAwaitsCalm guards against a long-running task under which a single
+// runner crashed and that waits until its pool loses no more of them.
+func TestSecondStartAwaitsCalm(t *testing.T) {
+	b := newBurst(newFixture(t, 1), 24)
+	b.run(4*time.Second, harmless)
+	id := b.job(1, job.Step{LongRunning: true})
+	b.step(harmless)
+	x := b.s.jobs[id].task(job.Task{Job: id})
+	on := x.runs[0].runner.ID
+	for _, other := range b.up() {
+		if other != on && len(b.down) < 8 {
+			b.crash(other)
+		}
+	}
+	b.crash(on)
+	b.run(time.Second, harmless)
+	if !x.live() || b.s.isCalm("pool", b.now) {
+		t.Errorf("runs %d, calm %t, want a run while the pool is not calm, record %+v", len(x.runs), b.s.isCalm("pool", b.now), x.crashes)
+	}
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -138,7 +138,11 @@
 // awaitsCalm reports whether a long-running task is not started yet, because its
 // pool loses runners that it may not have crashed.
 func (s *State) awaitsCalm(t *task, now clock.BootTime) bool {
-	return t.step.spec.LongRunning && t.crashes.NeedsCalm() && !s.isCalm(s.service(t.job), now)
+	c := t.crashes
+	if t.reserved != 0 {
+		c.Unresolved-- // the count of the start that would wait
+	}
+	return t.step.spec.LongRunning && c.NeedsCalm() && !s.isCalm(s.service(t.job), now)
 }
 
 // hasWorkingTask reports whether a long-running task of a job is at work on another
