sched: do not date the start of an adopted run by its first report

Cause: a new leader took its first report of a run for the confirmation of its start, so that all runs on a runner that crashed then were suspected. Class: the time of an observation taken for the time of the event. Change: a run that no start of this term explains is not fresh when it is adopted. A start that the previous leader sent and that arrives late may be suspected one crash later. Result: TestAdoptedRunSuspected failed before ("record {Crashes:1 Immediate:1 Suspect:true}").

--- a/internal/sched/blame_test.go
+++ b/internal/sched/blame_test.go
@@ -228,3 +228,19 @@
 		t.Errorf("record %+v, runner known %t, want none", c, f.s.runners["a"] != nil)
 	}
 }
+
+// TestAdoptedRunSuspected guards against a task that is suspected because its runner
+// crashed soon after a change of the leader, though it had run there for long.
+func TestAdoptedRunSuspected(t *testing.T) {
+	f := newFixture(t, 200)
+	id := f.job(1, job.Step{LongRunning: true})
+	f.s.InheritRoster(nil)
+	f.s.SetRunner(info("a", "pool"), f.now)
+	f.report("a", runner.Run{Task: job.Task{Job: id}, Attempt: 1, Percent: 100})
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.replaced("a", info("a", "pool").Addr)
+	if got, want := f.s.jobs[id].task(job.Task{Job: id}).crashes, (crash.Record{Crashes: 1}); got != want {
+		t.Errorf("record %+v, want %+v", got, want)
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -286,6 +286,10 @@
 		task: t, attempt: reported.Attempt, runner: rs, phase: running, demand: t.step.spec.Demand(),
 		scheduledAt: now, confirmedAt: now, throttle: 100,
 	}
+	if !t.scheduled {
+		// Started by a previous term, so that the report does not date its start.
+		r.confirmedAt = now.Add(-crash.FreshFor)
+	}
 	rs.add(r)
 	t.attempt = max(t.attempt, reported.Attempt)
 	js.started = true
