sched: a long-running task does not keep its runner in quarantine

A runner is quarantined when runs of two jobs in a row fail there, and then may have one run until a run ends as done. A long-running task never does: a runner that had one before its quarantine, or was given one as its probe, took no other run for as long as that one lasted, though it counts as a machine of its pool. With it all others waited, long-running or not, without a limit.

Now only the runs started since the quarantine count, and a long-running task that has been at work for a second counts as a success.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -16,6 +16,9 @@
 	minQuarantine = 3 * time.Second
 	// maxQuarantine limits the duration, which doubles each time.
 	maxQuarantine = 12 * time.Second
+	// probeTime is how long a long-running task must be at work to count as a
+	// success of its runner, since it never ends as done.
+	probeTime = time.Second
 )
 
 // health tracks the results of the runs on a runner, because a runner may fail
@@ -24,7 +27,7 @@
 	failing          []job.ID // jobs that failed since the last success
 	quarantine       time.Duration
 	quarantinedUntil clock.BootTime // no new runs before this time
-	probing          bool           // may have only one run until that run ends
+	probing          bool           // may have only one run started since, until one succeeds
 }
 
 // recordFailure records a failed run, and reports whether the runner is
@@ -50,11 +53,36 @@
 	*h = health{}
 }
 
-// allows reports whether the runner may be given one more run beside its
-// present ones.
-func (h *health) allows(now clock.BootTime, runs int) bool {
+// allows reports whether the runner may be given one more run, beside those that it
+// was given since its quarantine.
+func (h *health) allows(now clock.BootTime, probes int) bool {
 	if h.quarantinedUntil.After(now) {
 		return false
 	}
-	return !h.probing || runs == 0
+	return !h.probing || probes == 0
+}
+
+// isProbe reports whether a run was started since the quarantine of its runner.
+func (r *run) isProbe() bool {
+	h := &r.runner.health
+	return h.probing && !h.quarantinedUntil.After(r.scheduledAt)
+}
+
+// probes returns the number of runs started on a runner since its quarantine.
+func (rs *runnerState) probes() int {
+	n := 0
+	if rs.health.probing {
+		for _, r := range rs.runs {
+			if r.isProbe() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// hasPassed reports whether a long-running task has been at work for long enough
+// to show that its runner, which is probed by it, does not fail all runs.
+func (r *run) hasPassed(now clock.BootTime) bool {
+	return r.task.step.spec.LongRunning && r.percent >= 100 && r.isProbe() && now.Sub(r.confirmedAt) >= probeTime
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -158,7 +158,7 @@
 		return noRoom
 	case !rs.HasLabel(sp.Label):
 		return otherLabel
-	case !rs.health.allows(now, len(rs.runs)):
+	case !rs.health.allows(now, rs.probes()):
 		return quarantined
 	case !s.permitted(rs, t.step, now):
 		return noPermit
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -247,6 +247,9 @@
 		r.phase = running
 	}
 	r.percent, r.load = reported.Percent, reported.Load
+	if r.hasPassed(now) {
+		rs.health.recordSuccess()
+	}
 	if crash.IsProven(r.confirmedAt, now) {
 		s.clearCrashes(r.task)
 	}
