sched: limit the quarantine of a runner to six seconds

Two jobs whose tasks always fail quarantine each runner that runs them, and the duration doubles up to 12 s. In a pool without other work that holds for all runners at once, and a long-running task has no room for longer than the nine seconds in which it must run again.

A runner that fails all runs is probed with one run each 6 s instead of each 12 s.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -14,8 +14,10 @@
 	quarantineJobs = 2
 	// minQuarantine is the duration of the first quarantine.
 	minQuarantine = 3 * time.Second
-	// maxQuarantine limits the duration, which doubles each time.
-	maxQuarantine = 12 * time.Second
+	// maxQuarantine limits the duration, which doubles each time. Jobs that always
+	// fail may quarantine a whole pool, and a long-running task must run again
+	// within nine seconds.
+	maxQuarantine = 6 * time.Second
 	// probeTime is how long a long-running task must be at work to count as a
 	// success of its runner, since it never ends as done.
 	probeTime = time.Second
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -80,3 +80,22 @@
 		t.Error("not quarantined again after the failure of its only new run")
 	}
 }
+
+// TestPoolQuarantinedByFailingJobs guards against a long-running task that finds
+// each runner of its pool quarantined for the faults of jobs that always fail.
+func TestPoolQuarantinedByFailingJobs(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	for n := range 5 {
+		f.fail("a", 10*n+10)
+		f.fail("b", 10*n+15)
+		f.now = max(f.s.runners["a"].health.quarantinedUntil, f.s.runners["b"].health.quarantinedUntil)
+	}
+	f.fail("a", 100)
+	f.fail("b", 105)
+	lasting := f.job(1, job.Step{LongRunning: true, Count: 3})
+	f.settle(lostPasses)
+	if n := f.waitingTasks(lasting); n > 0 {
+		t.Errorf("%d long-running tasks wait after %v, with both runners empty", n, lostBound)
+	}
+}
