sched: a permit for a runner that cannot take the task asks for others

No permits were requested for a step while any usable runner with room had one, even if that runner is in quarantine, isolated or has as many tasks of the step as it may have. The tasks then waited for the permit to expire, with runners that were never asked about.

The query now uses the obstacle that placement sees. The permit is checked last, so that the query names no runner that could not take the task anyway.

--- a/internal/sched/permit.go
+++ b/internal/sched/permit.go
@@ -59,21 +59,26 @@
 }
 
 // queryPolicy requests permits for a step if its queue has a policy, no query
-// is pending and no usable runner with enough free capacity has a permit.
+// is pending and no runner that may take its next task has a permit.
 func (s *State) queryPolicy(runners []*runnerState, st *step, now clock.BootTime) {
 	q := st.occ.job.queue
 	if q == nil || q.Policy == nil || st.permits.pending || st.permits.notBefore.After(now) {
 		return
 	}
+	i := slices.IndexFunc(st.tasks, func(t *task) bool { return s.startable(t, now) })
+	if i < 0 {
+		return
+	}
 	var ids []runner.ID
 	for _, rs := range runners {
-		if !st.spec.Demand().Fits(rs.free()) || !rs.HasLabel(st.spec.Label) {
-			continue
-		}
-		if s.permitted(rs, st, now) {
-			return
+		switch s.obstacleTo(rs, st.tasks[i], now) {
+		case noObstacle:
+			if rs.isolated == nil {
+				return
+			}
+		case noPermit:
+			ids = append(ids, rs.ID)
 		}
-		ids = append(ids, rs.ID)
 	}
 	if len(ids) == 0 {
 		return
--- /dev/null
+++ b/internal/sched/permit_test.go
@@ -0,0 +1,55 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+)
+
+// TestPermitOfRunnerThatCannotRun guards against tasks that wait until a permit
+// expires because the permitted runner has room but may not take them, while no
+// permit is requested for the others.
+func TestPermitOfRunnerThatCannotRun(t *testing.T) {
+	const valid = time.Minute
+	for name, c := range map[string]struct {
+		step       job.Step
+		quarantine bool
+	}{
+		"limit":       {job.Step{LongRunning: true, Count: 2, PerRunner: 1}, false},
+		"quarantined": {job.Step{LongRunning: true, Count: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second, Policy: &job.Policy{}}},
+				[]*job.Service{{Name: "pool", EnforcesCapacity: true}}, job.Limits{}))
+			f.runner("a")
+			lasting := f.job(1, c.step)
+			allow := func() {
+				for _, q := range f.s.PolicyQueries() {
+					var allowed []AllowedRunner
+					for _, id := range q.Runners {
+						allowed = append(allowed, AllowedRunner{Runner: id, Ticket: "t"})
+					}
+					f.s.HandlePolicyReply(&q, allowed, valid, f.now, f.now)
+				}
+			}
+			f.plan()
+			allow()
+			if c.quarantine {
+				f.fail("a", 10)
+				f.s.runners["a"].health.quarantinedUntil = f.now.Add(2 * lostBound)
+			} else {
+				f.settle(2)
+			}
+			f.runner("b", "c")
+			for range lostPasses {
+				f.settle(1)
+				allow()
+			}
+			if n := f.waitingTasks(lasting); n > 0 {
+				t.Errorf("%d long-running tasks wait after %v, with two free runners without a permit", n, lostBound)
+			}
+		})
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -137,17 +137,17 @@
 	noRoom               // its free capacity is too small
 	otherLabel           // it lacks the label of the step
 	quarantined          // tasks fail there, or it is being probed
-	noPermit             // the policy of the queue has not allowed it
 	unusable             // see usable
 	presentRun           // it has a run of the task
 	held                 // it is held for long-running tasks
 	stepLimit            // it has as many tasks of the step as may run there
+	noPermit             // the policy of the queue has not allowed it
 	isolated             // it is isolated for a suspect, or the task is one and it is not
 	obstacles            // number of obstacles
 )
 
 func (o obstacle) String() string {
-	return [...]string{"", "full", "label", "quarantined", "permit", "unusable", "present", "held", "limit", "isolation"}[o]
+	return [...]string{"", "full", "label", "quarantined", "unusable", "present", "held", "limit", "permit", "isolation"}[o]
 }
 
 // obstacleTo returns why a task may not run on a runner, apart from isolation.
@@ -160,8 +160,6 @@
 		return otherLabel
 	case !rs.health.allows(now, rs.probes()):
 		return quarantined
-	case !s.permitted(rs, t.step, now):
-		return noPermit
 	case !s.usable(rs, now):
 		return unusable
 	case rs.runs[t.name] != nil:
@@ -170,6 +168,8 @@
 		return held
 	case sp.PerRunner > 0 && runsOfStep(rs, t) >= sp.PerRunner:
 		return stepLimit
+	case !s.permitted(rs, t.step, now):
+		return noPermit
 	}
 	return noObstacle
 }
