sched: cordon all runners that leave before long-running tasks are evacuated

Each pass removed all cordons first and set them again one machine at a time, those of moves last. While the long-running tasks of a drained runner, or of the first machines of a wave, were evacuated, the runners of the other machines that leave counted as room. A task was stopped for it and then could not be started there.

The cordons of waves and moves are now set before the first evacuation of a pass.

--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -91,3 +91,37 @@
 		t.Errorf("%v stopped while the other task of its step is away", c.Task)
 	}
 }
+
+// TestEvacuatedToLeavingRunner guards against a long-running task that is stopped
+// for the room on a runner that leaves, too.
+func TestEvacuatedToLeavingRunner(t *testing.T) {
+	for name, machines := range map[string][]machine.ID{"drained": {"m-b"}, "same wave": {"m-a", "m-b"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.runner("a")
+			lasting := f.job(1, job.Step{LongRunning: true, MaxUnavailable: 1})
+			f.settle(2)
+			b := info("b", "pool")
+			b.Capacity.CPU = 8000
+			f.s.SetRunner(b, f.now)
+			f.report("b")
+			f.s.RosterStored(f.s.Roster(f.now, false))
+			f.job(2, job.Step{Resources: job.Resources{CPU: 5000, Mem: 100}})
+			f.settle(2)
+			f.s.SetWave(machine.Wave{Number: 1, Machines: machines, MaxUnavailable: 2, Within: 5 * time.Second}, false, f.now, time.Unix(0, 0))
+			f.plan() // both machines of the wave begin to leave
+			if name == "drained" {
+				a := info("a", "pool")
+				a.Draining = true
+				f.s.SetRunner(a, f.now)
+			}
+			for range 5 {
+				for _, c := range ofKind(f.plan(), StopRun) {
+					if c.Task.Job == lasting {
+						t.Fatal("long-running task stopped, with room only on a runner that leaves")
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -73,10 +73,15 @@
 	s.listedAt = now
 }
 
+// machinesCurrent reports whether the machines were listed lately.
+func (s *State) machinesCurrent(now clock.BootTime) bool {
+	return s.listedAt != 0 && now.Sub(s.listedAt) <= maxListAge
+}
+
 // planPools moves machines from pools that have more than they need to those
 // that have fewer.
 func (s *State) planPools(now clock.BootTime) {
-	if now.Sub(s.listedAt) > maxListAge || s.listedAt == 0 {
+	if !s.machinesCurrent(now) {
 		return
 	}
 	for _, ms := range s.machineStates {
@@ -209,11 +214,8 @@
 		return
 	}
 	rs := s.runnerOf(ms.ID)
-	if rs != nil && ms.fromRunner == rs.ID && !rs.ended {
-		rs.cordoned = true
-		if len(rs.runs) > 0 || rs.hasUnacked() {
-			return
-		}
+	if from := s.movingRunner(ms); from != nil && (len(from.runs) > 0 || from.hasUnacked()) {
+		return
 	}
 	switch {
 	case ms.sent:
@@ -235,6 +237,14 @@
 	}
 }
 
+// movingRunner returns the runner that leaves with the move of a machine, or nil.
+func (s *State) movingRunner(ms *machineState) *runnerState {
+	if rs := s.runnerOf(ms.ID); ms.movingTo != "" && rs != nil && ms.fromRunner == rs.ID && !rs.ended {
+		return rs
+	}
+	return nil
+}
+
 // planMove plans the move of a machine.
 func (s *State) planMove(ms *machineState, to string, now clock.BootTime) {
 	ms.movingTo, ms.sent, ms.fromRunner, ms.fromIncarnation = to, false, "", 0
