sched: keep the room for which a long-running task is evacuated

A task that leaves a runner was stopped as soon as one fits it, and started once its end was listed. Nothing kept that room: the other tasks that leave in the same and the next passes were stopped for it too, batch tasks were started there at once, and the machine, if idle, could be moved to another pool. All but the first task then had no run.

The chosen runner now keeps the room until the task runs again or cannot use it.

TestEvacuationsCountSameRoom: 2 of 3 tasks had no run 9 s after they were stopped for room for one, none now. TestRoomOfEvacuatedTaskTaken: a batch run was started in the room, none now. TestRoomOfEvacuatedTaskMoved covers the move.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -52,6 +52,7 @@
 		task: t, attempt: attempt, runner: rs, demand: t.step.spec.Demand(), scheduledAt: now, throttle: 100, sending: true,
 	}
 	rs.add(r)
+	t.breakPromise()
 	// A later term needs a record of any attempt after the first.
 	if !t.job.started || attempt > 1 {
 		t.job.started = true
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -37,6 +37,7 @@
 		d.machines++
 		d.maxCPU, d.maxMem = max(d.maxCPU, rs.Capacity.CPU), max(d.maxMem, rs.Capacity.Mem)
 		switch {
+		case len(rs.promises) > 0:
 		case len(rs.runs) == 0:
 			d.idle = append(d.idle, rs)
 		case rs.longRunning == 0:
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -28,8 +28,9 @@
 		if !r.task.step.spec.LongRunning || r.phase == stopping || !s.mayInterrupt(r.task) {
 			continue
 		}
-		if s.placeable(r.task, now) {
+		if to := s.choose(s.byPool[s.service(r.task.job)], r.task, now); to != nil {
 			s.stop(r, "runner evacuated")
+			to.promise(r.task)
 		} else {
 			s.unplaced[s.service(r.task.job)]++
 		}
@@ -65,15 +66,36 @@
 	clear(s.unplaced)
 }
 
-// placeable reports whether a task could run on a usable runner.
-func (s *State) placeable(t *task, now clock.BootTime) bool {
-	svc := s.service(t.job)
-	for _, rs := range s.byPool[svc] {
-		if s.allowed(rs, t, now) {
-			return true
+// promise keeps room on a runner for a long-running task that is stopped for it,
+// until the task is started again.
+func (rs *runnerState) promise(t *task) {
+	t.breakPromise()
+	if rs.promises == nil {
+		rs.promises = make(map[*task]bool)
+	}
+	rs.promises[t] = true
+	t.promisedBy = rs
+}
+
+// breakPromise gives up the room that is kept for a task, if there is any.
+func (t *task) breakPromise() {
+	if t.promisedBy != nil {
+		delete(t.promisedBy.promises, t)
+		t.promisedBy = nil
+	}
+}
+
+// reviewPromises gives up the room for tasks that do not need it any more or
+// cannot use it.
+func (s *State) reviewPromises(now clock.BootTime) {
+	for _, rs := range s.runners {
+		for t := range rs.promises {
+			runs := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != stopping })
+			if runs || !t.job.open() || t.crashes.Suspect || !s.usable(rs, now) {
+				t.breakPromise()
+			}
 		}
 	}
-	return false
 }
 
 // mayInterrupt reports whether a long-running task may be stopped: fewer of the
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -125,3 +126,100 @@
 		})
 	}
 }
+
+// evacuation returns a fixture in which the only long-running task of each of n
+// jobs runs on runner a, which leaves for a wave, and runner b is empty.
+func evacuation(t *testing.T, n int, room, demand job.Resources) *fixture {
+	t.Helper()
+	f := newFixture(t, 1)
+	f.runner("a")
+	for i := range n {
+		f.job(i+1, job.Step{LongRunning: true, MaxUnavailable: 1, Resources: demand})
+	}
+	f.settle(2)
+	b := info("b", "pool")
+	b.Capacity = room
+	f.s.SetRunner(b, f.now)
+	f.report("b")
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	return f
+}
+
+// settleStops is settle with all stops carried out, too.
+func (f *fixture) settleStops(passes int) {
+	for range passes {
+		commands := f.plan()
+		f.accept(commands)
+		for _, c := range ofKind(commands, StopRun) {
+			f.end(c.To.ID, c.Task, c.Attempt, runner.Stopped)
+		}
+		f.flush()
+		for id, rs := range f.s.runners {
+			f.report(id, f.running(rs)...)
+		}
+	}
+}
+
+// TestEvacuationsCountSameRoom guards against long-running tasks that are stopped
+// for the same room, of which all but one then wait without a run.
+func TestEvacuationsCountSameRoom(t *testing.T) {
+	demand := job.Resources{CPU: 1000, Mem: 100}
+	f := evacuation(t, 3, demand, demand)
+	f.settleStops(lostPasses)
+	waits := 0
+	for id := range f.s.jobs {
+		waits += f.waitingTasks(id)
+	}
+	if waits > 0 {
+		t.Errorf("%d of 3 long-running tasks have no run %v after they were evacuated to room for one", waits, lostBound)
+	}
+}
+
+// TestRoomOfEvacuatedTaskTaken guards against batch tasks that take the room for
+// which a long-running task is being stopped.
+func TestRoomOfEvacuatedTaskTaken(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) == 0 {
+			continue
+		}
+		f.job(10, job.Step{Count: 100})
+		f.settle(3)
+		if n := len(f.s.runners["b"].runs); n > 0 {
+			t.Errorf("%d batch runs on the runner that the long-running task is to move to", n)
+		}
+		return
+	}
+	t.Error("the long-running task was not stopped, with room for it")
+}
+
+// TestRoomOfEvacuatedTaskMoved guards against a machine that moves to another pool
+// while a long-running task is being stopped for the room on it.
+func TestRoomOfEvacuatedTaskMoved(t *testing.T) {
+	f := newPoolFixture(t)
+	f.job(1, job.Step{LongRunning: true, MaxUnavailable: 1})
+	on := f.settle(2)[0].To.ID
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-" + machine.ID(on)}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	kept := 0
+	for _, rs := range f.s.byPool["pool"] {
+		if len(rs.promises) == 0 {
+			continue
+		}
+		kept++
+		for _, d := range f.s.poolDemands(f.now) {
+			if slices.Contains(d.idle, rs) {
+				t.Errorf("runner %s may move to another pool", rs.ID)
+			}
+		}
+	}
+	if kept != 1 {
+		t.Errorf("%d runners keep room for the long-running task, want 1", kept)
+	}
+}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -61,6 +61,7 @@
 	retried    bool           // a slow or stalled run was given a copy or another attempt
 	endedAt    clock.BootTime // when its last run ended
 	scheduled  bool           // this term has scheduled a run
+	promisedBy *runnerState   // keeps room for it; nil: none
 	// possibleResult is set if the lease of a run expired while its runner was
 	// unreachable, so that the run may have ended as done.
 	possibleResult bool
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -74,11 +74,11 @@
 }
 
 // largestFree returns, for each resource, the largest free amount on any
-// runner.
+// runner, with what is kept for tasks.
 func largestFree(runners []*runnerState) job.Resources {
 	var maxFree job.Resources
 	for _, rs := range runners {
-		f := rs.free()
+		f := rs.Capacity.Sub(rs.used)
 		maxFree = job.Resources{CPU: max(maxFree.CPU, f.CPU), Mem: max(maxFree.Mem, f.Mem), GPU: max(maxFree.GPU, f.GPU)}
 	}
 	return maxFree
@@ -154,7 +154,7 @@
 func (s *State) obstacleTo(rs *runnerState, t *task, now clock.BootTime) obstacle {
 	sp := t.step.spec
 	switch {
-	case !sp.Demand().Fits(rs.free()):
+	case !sp.Demand().Fits(rs.freeFor(t)):
 		return noRoom
 	case !rs.HasLabel(sp.Label):
 		return otherLabel
@@ -174,9 +174,15 @@
 	return noObstacle
 }
 
-// runsOfStep returns the number of runs of the same step on a runner.
+// runsOfStep returns the number of runs of the same step on a runner, with the
+// other tasks that room is kept for.
 func runsOfStep(rs *runnerState, t *task) int {
 	c := 0
+	for x := range rs.promises {
+		if x != t && x.step == t.step {
+			c++
+		}
+	}
 	for _, r := range rs.runs {
 		if r.task.step == t.step {
 			c++
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -55,6 +55,7 @@
 	idleSince        clock.BootTime // since when it has no runs
 	expiredAt        clock.BootTime // when its lease was first seen to be expired
 	cordoned         bool           // leaves for planned maintenance: no new starts
+	promises         map[*task]bool // tasks that room is kept for
 	heldUntil        clock.BootTime // only long-running tasks are started before this time
 	health           health
 	isolated         *jobState      // only the suspects of this job are started; nil: no such limit
@@ -84,7 +85,18 @@
 }
 
 // free returns the free capacity.
-func (rs *runnerState) free() job.Resources { return rs.Capacity.Sub(rs.used) }
+func (rs *runnerState) free() job.Resources { return rs.freeFor(nil) }
+
+// freeFor returns the free capacity for a task, which includes what is kept for it.
+func (rs *runnerState) freeFor(t *task) job.Resources {
+	f := rs.Capacity.Sub(rs.used)
+	for x := range rs.promises {
+		if x != t {
+			f = f.Sub(x.step.spec.Demand())
+		}
+	}
+	return f
+}
 
 // reregisterTimeout is how long a reachable runner remains in use after its
 // store entry was removed: entries that expired during an outage of the store
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -160,6 +160,7 @@
 // commands.
 func (s *State) planWaves(now clock.BootTime) {
 	s.cordon(now)
+	s.reviewPromises(now)
 	for _, rs := range s.runners {
 		if rs.Draining && rs.replied && !rs.unreachable {
 			s.evacuate(rs, now)
