sched: a machine takes only whole long-running tasks

The number of machines that the long-running tasks of a pool need came from their total memory. Tasks of more than half a machine do not share one, so that some waited without a limit beside a standby pool; their cores were treated in the same way.

Each step now needs its tasks divided by how many of them a machine takes.

TestSpreadNeedsMachines: with 9 tasks of 4.1 of 8 GB, or of 2.1 of 4 cores, no machine was added to 8 before, 2 are now.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
 
 // poolDemand is what a pool has and needs. CPU is in thousandths of a core.
@@ -55,7 +56,7 @@
 		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
 			present, soon := s.desiredCPU(name, now)
-			d.timely = max(d.timely, d.machinesFor(present), s.longRunningMachines(name, d.maxMem))
+			d.timely = max(d.timely, d.machinesFor(present), s.longRunningMachines(d))
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		slices.SortFunc(d.busy, func(a, b *runnerState) int {
@@ -75,31 +76,43 @@
 }
 
 // longRunningMachines returns how many machines the long-running tasks of a
-// pool need for their memory and for the limit of tasks per runner, plus one
-// for a runner that leaves.
-func (s *State) longRunningMachines(pool string, memory int) int {
-	machines, total := 0, 0
-	for _, js := range s.open[pool] {
+// pool need for their demand, of which a machine takes only whole tasks, and for
+// the limit of tasks per runner, plus one for a runner that leaves.
+func (s *State) longRunningMachines(d *poolDemand) int {
+	machines, total := 0, 0.0
+	for _, js := range s.open[d.pool] {
 		if !js.def.LongRunning() {
 			continue
 		}
 		for i := range js.def.Steps {
 			sp := &js.def.Steps[i]
-			total += sp.Count * sp.Resources.Mem
+			if n := d.tasksPerMachine(sp.Demand()); n > 0 {
+				total += float64(sp.Count) / float64(n)
+			}
 			if sp.PerRunner > 0 {
 				machines = max(machines, (sp.Count+sp.PerRunner-1)/sp.PerRunner)
 			}
 		}
 	}
-	if memory > 0 {
-		machines = max(machines, (total+memory-1)/memory)
-	}
+	machines = max(machines, int(math.Ceil(total)))
 	if machines == 0 {
 		return 0
 	}
 	return machines + 1
 }
 
+// tasksPerMachine returns how many tasks of a demand the largest machine takes.
+func (d *poolDemand) tasksPerMachine(r job.Resources) int {
+	n := math.MaxInt
+	if r.CPU > 0 {
+		n = d.maxCPU / r.CPU
+	}
+	if r.Mem > 0 {
+		n = min(n, d.maxMem/r.Mem)
+	}
+	return n
+}
+
 // desiredCPU returns the CPU that a pool can use, in thousandths of a core: present
 // for the current arrivals and the work that can still meet its objective, soon for
 // the expected arrivals and with the late work.
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -128,6 +128,8 @@
 	for name, step := range map[string]job.Step{
 		"spread": {Count: 18, PerRunner: 2, LongRunning: true, Resources: job.Resources{CPU: 100, Mem: 1}},
 		"memory": {Count: 18, LongRunning: true, Resources: job.Resources{CPU: 100, Mem: 4000}},
+		"pieces": {Count: 9, LongRunning: true, Resources: job.Resources{CPU: 100, Mem: 4100}},
+		"cores":  {Count: 9, LongRunning: true, Resources: job.Resources{CPU: 2100, Mem: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newPoolFixture(t)
