sched: hold runners for long-running tasks that wait for room

Runners were held, without new batch tasks, only for long-running tasks that must leave a machine. One without a run that needs much of a machine waited for as long as there were batch tasks to start, which use each capacity that becomes free.

Now runners are held for both, and only those on which a task fits once their batch tasks have ended.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
 
 // stopBatch stops the runs on a runner that are not long-running.
@@ -32,7 +33,7 @@
 			s.stop(r, "runner evacuated")
 			to.promise(r.task)
 		} else {
-			s.unplaced[s.service(r.task.job)]++
+			s.unplaced[r.task.step]++
 		}
 	}
 }
@@ -45,27 +46,103 @@
 	holdTime = time.Second
 )
 
+// addWaiting counts the long-running tasks that have no run and fit nowhere.
+func (s *State) addWaiting(now clock.BootTime) {
+	for pool, jobs := range s.open {
+		for _, js := range jobs {
+			if !js.def.LongRunning() {
+				continue
+			}
+			for _, o := range js.occs {
+				for _, st := range o.steps {
+					if st.idle > 0 && st.spec.LongRunning && !st.spec.Gang && o.ready(st) {
+						s.unplaced[st] += s.waitingForRoom(pool, st, now)
+					}
+				}
+			}
+		}
+	}
+}
+
+// waitingForRoom returns how many tasks of a step have no run, if no runner has room
+// for one.
+func (s *State) waitingForRoom(pool string, st *step, now clock.BootTime) int {
+	if slices.ContainsFunc(s.byPool[pool], func(rs *runnerState) bool {
+		return s.couldTake(rs, st, now) && st.spec.Demand().Fits(rs.free())
+	}) {
+		return 0
+	}
+	n := 0
+	for _, t := range st.tasks {
+		if !t.crashes.Suspect && s.startable(t, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// couldTake reports whether a runner may be given a task of a step once it has room.
+func (s *State) couldTake(rs *runnerState, st *step, now clock.BootTime) bool {
+	return s.usable(rs, now) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
+}
+
 // holdRunners keeps batch tasks off some runners of the pools in which
-// long-running tasks must leave their runner and fit nowhere. In a full pool,
-// each capacity that becomes free would otherwise be used by waiting batch tasks
-// at once, and a machine could not leave for its maintenance in time.
+// long-running tasks wait, or must leave their runner, and fit nowhere. In a full
+// pool, each capacity that becomes free would otherwise be used by waiting batch
+// tasks at once: a machine could not leave for its maintenance in time, and a task
+// that needs much of a machine would wait without end.
 func (s *State) holdRunners(now clock.BootTime) {
-	for pool, n := range s.unplaced {
-		want := (n + tasksPerHeldRunner - 1) / tasksPerHeldRunner
-		runners := slices.DeleteFunc(slices.Clone(s.byPool[pool]), func(rs *runnerState) bool { return !s.usable(rs, now) })
-		slices.SortStableFunc(runners, func(a, b *runnerState) int {
-			return cmp.Or(
-				-compareBool(a.heldUntil.After(now), b.heldUntil.After(now)),
-				cmp.Compare(b.free().CPU, a.free().CPU),
-			)
-		})
-		for _, rs := range runners[:min(want, len(runners))] {
-			rs.heldUntil = now.Add(holdTime)
+	s.addWaiting(now)
+	steps := make([]*step, 0, len(s.unplaced))
+	for st, n := range s.unplaced {
+		if n > 0 {
+			steps = append(steps, st)
 		}
 	}
+	slices.SortFunc(steps, func(a, b *step) int { return compareTasks(a.tasks[0].name, b.tasks[0].name) })
+	taken := make(map[*runnerState]int) // tasks that a runner is held for
+	for _, st := range steps {
+		s.hold(st, s.unplaced[st], taken, now)
+	}
 	clear(s.unplaced)
 }
 
+// hold holds runners for n tasks of a step.
+func (s *State) hold(st *step, n int, taken map[*runnerState]int, now clock.BootTime) {
+	runners := slices.DeleteFunc(slices.Clone(s.byPool[s.service(st.occ.job)]), func(rs *runnerState) bool {
+		return taken[rs] >= tasksPerHeldRunner || !s.couldTake(rs, st, now) || !st.spec.Demand().Fits(rs.freeOfBatch())
+	})
+	slices.SortStableFunc(runners, func(a, b *runnerState) int {
+		return cmp.Or(
+			-compareBool(a.heldUntil.After(now), b.heldUntil.After(now)),
+			cmp.Compare(b.free().CPU, a.free().CPU),
+		)
+	})
+	for _, rs := range runners {
+		if n <= 0 {
+			return
+		}
+		fit := min(tasksPerHeldRunner-taken[rs], rs.freeOfBatch().CPU/max(st.spec.Demand().CPU, 1))
+		if st.spec.PerRunner > 0 {
+			fit = min(fit, st.spec.PerRunner-runsOfStep(rs, st.tasks[0]))
+		}
+		rs.heldUntil = now.Add(holdTime)
+		taken[rs] += fit
+		n -= fit
+	}
+}
+
+// freeOfBatch returns what is free on a runner once its batch tasks have ended.
+func (rs *runnerState) freeOfBatch() job.Resources {
+	f := rs.free()
+	for _, r := range rs.runs {
+		if !r.task.step.spec.LongRunning {
+			f = f.Add(r.demand)
+		}
+	}
+	return f
+}
+
 // promise keeps room on a runner for a long-running task that is stopped for it,
 // until the task is started again.
 func (rs *runnerState) promise(t *task) {
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -223,3 +223,27 @@
 		t.Errorf("%d runners keep room for the long-running task, want 1", kept)
 	}
 }
+
+// TestLargeTaskBehindBatch guards against a long-running task that needs most of a
+// machine and never finds it, because batch tasks use each capacity that becomes
+// free.
+func TestLargeTaskBehindBatch(t *testing.T) {
+	f := newFixture(t, 1)
+	ids := []runner.ID{"a", "b", "c"}
+	f.runner(ids...)
+	f.job(1, job.Step{Count: 10000})
+	f.settle(3)
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	for i := range lostPasses {
+		on := ids[i%len(ids)]
+		if runs := f.running(f.s.runners[on]); len(runs) > 0 && i%4 == 0 {
+			f.end(on, runs[0].Task, runs[0].Attempt, runner.Done)
+			f.report(on, runs[1:]...)
+		}
+		f.settle(1)
+		if f.waitingTasks(lasting) == 0 {
+			return
+		}
+	}
+	t.Errorf("long-running task not started in %v, while %d batch tasks ended", lostBound, lostPasses/4)
+}
