sched: a pool gets a machine for long-running tasks that fit nowhere

The machines that long-running tasks need are an estimate: the most that a limit of tasks per runner asks for, or what all their demand fills.

A pool without an idle machine now needs as many more than it has as such tasks, and those that must leave a runner, take.

TestWaitingTaskNeedsMachine: no machine was moved to the pool before, 2 are now.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -45,6 +45,10 @@
 			d.busy = append(d.busy, rs)
 		}
 	}
+	present := make(map[string]int)
+	for name, d := range byPool {
+		present[name] = d.machines
+	}
 	for _, ms := range s.machineStates {
 		if d := byPool[ms.movingTo]; d != nil {
 			d.machines++
@@ -55,8 +59,11 @@
 	for name, d := range byPool {
 		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
-			present, soon := s.desiredCPU(name, now)
-			d.timely = max(d.timely, d.machinesFor(present), s.longRunningMachines(d))
+			current, soon := s.desiredCPU(name, now)
+			d.timely = max(d.timely, d.machinesFor(current), s.longRunningMachines(d))
+			if n := s.machinesForUnplaced(d); n > 0 && len(d.idle) == 0 {
+				d.timely = max(d.timely, present[name]+n)
+			}
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		slices.SortFunc(d.busy, func(a, b *runnerState) int {
@@ -101,6 +108,22 @@
 	return machines + 1
 }
 
+// machinesForUnplaced returns how many more machines the long-running tasks of a pool
+// need that fit nowhere. A machine may lack the label of a step.
+func (s *State) machinesForUnplaced(d *poolDemand) int {
+	total := 0 // in thousandths, since the order of a map changes a sum of fractions
+	for st, tasks := range s.unplaced {
+		n := d.tasksPerMachine(st.spec.Demand())
+		if st.spec.PerRunner > 0 {
+			n = min(n, st.spec.PerRunner)
+		}
+		if n > 0 && st.spec.Label == "" && s.service(st.occ.job) == d.pool {
+			total += tasks * 1000 / n
+		}
+	}
+	return (total + 999) / 1000
+}
+
 // tasksPerMachine returns how many tasks of a demand the largest machine takes.
 func (d *poolDemand) tasksPerMachine(r job.Resources) int {
 	n := math.MaxInt
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -104,7 +104,6 @@
 	for _, st := range steps {
 		s.hold(st, s.unplaced[st], taken, now)
 	}
-	clear(s.unplaced)
 }
 
 // hold holds runners for n tasks of a step.
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -147,6 +147,35 @@
 	}
 }
 
+// TestWaitingTaskNeedsMachine guards against long-running tasks that wait for as long
+// as their pool has the machines that it should need, which do not have room for
+// them: the tasks of another job fill some, and the others have one of the step. On a
+// day of shramba-lj-grown four tasks waited 10 s for their first run.
+func TestWaitingTaskNeedsMachine(t *testing.T) {
+	f := newPoolFixture(t)
+	f.job(1, job.Step{LongRunning: true, Count: 4, Resources: job.Resources{CPU: 100, Mem: 8000}})
+	f.settle(2)
+	lasting := f.job(2, job.Step{LongRunning: true, Count: 6, PerRunner: 1, Resources: job.Resources{CPU: 100, Mem: 1}})
+	f.settle(2)
+	if n := f.waitingTasks(lasting); n != 2 {
+		t.Fatalf("%d tasks wait, want 2", n)
+	}
+	in := 0
+	for _, to := range f.moves() {
+		if to == "pool" {
+			in++
+		}
+	}
+	if in != 2 {
+		t.Errorf("%d machines move to the pool in which 2 tasks wait, want 2", in)
+	}
+	f.runner("n1", "n2")
+	f.settle(2)
+	if n := f.waitingTasks(lasting); n > 0 {
+		t.Errorf("%d tasks wait after the machines have arrived", n)
+	}
+}
+
 // TestNoMachineOffWithoutInput guards against powering off the fleet while the
 // store is unavailable: no jobs are accepted then, but callers submit all of
 // them at once when it returns.
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -159,6 +159,7 @@
 // planWaves drains the machines of the waves and sends their maintenance
 // commands.
 func (s *State) planWaves(now clock.BootTime) {
+	clear(s.unplaced)
 	s.cordon(now)
 	s.reviewPromises(now)
 	for _, rs := range s.runners {
