sched: check in the model that each awaited command is on its way

A run whose command counts as queued or in flight is not sent it again. The models now check after each action that there is such a command. They no longer drop the commands that they leave undelivered; the product repeats those.

--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -347,13 +347,16 @@
 		return
 	}
 	if r.id != c.To.ID {
-		l.s.HandleReply(&c, runner.Reply{}, false, true, m.now)
+		if l.s.HandleReply(&c, runner.Reply{}, false, true, m.now) {
+			l.commands = append(l.commands, c)
+		}
 		m.rejected(l, c.To)
 		return
 	}
 	if l != m.newest() && r.incarnation != l.s.runners[r.id].Incarnation {
 		// Left out: only the fence that the restart has forgotten keeps a former
 		// leader from an incarnation that it takes for the previous one.
+		l.commands = append(l.commands, c)
 		return
 	}
 	d := delayed{to: r, incarnation: r.incarnation, term: l.term, command: c, start: start}
@@ -551,11 +554,37 @@
 			if err := checkIndexes(l.s); err != nil {
 				t.Fatal(err)
 			}
+			if r := l.unsent(); r != nil {
+				t.Fatalf("task %v attempt %d on runner %s waits for a command that is neither queued nor in flight", r.task.name, r.attempt, r.runner.ID)
+			}
 		}
 	}
 	m.t.Repeat(actions)
 }
 
+// unsent returns a run that is not sent its command again, because one counts as
+// queued or in flight, although none is.
+func (l *modelLeader) unsent() *run {
+	if l.stopped {
+		return nil
+	}
+	for _, rs := range l.s.runners {
+		for _, r := range rs.runs {
+			kind := StartRun
+			if r.phase == stopping {
+				kind = StopRun
+			}
+			if !r.sending || r.phase == running || r.phase == stopping && r.stopConfirmed != 0 {
+				continue
+			}
+			if !slices.ContainsFunc(slices.Concat(l.commands, l.s.commands), func(c Command) bool { return c.Kind == kind && l.s.findRun(&c) == r }) {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 func (m *model) maybeElect(t *rapid.T) {
 	if rapid.IntRange(0, 3).Draw(t, "chance") == 0 {
 		m.elect()
