sched: a repeated entry of another incarnation keeps its first time

A runner of which the store has an entry of a later incarnation is not used until it replies to a poll sent after the entry was read. Each further entry of the same incarnation started that again. The poll of an idle runner waits 1.5 s: an entry that is written more often than that kept the runner out of use for good, although it replied.

TestRunnerUnusedWhileAnnounced, an entry each 0.9 s: a long-running task waited 9 s before, and is started now.

--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
@@ -336,3 +337,32 @@
 		t.Errorf("incarnation %d after a late reply of an earlier one, want 3", got)
 	}
 }
+
+// TestRunnerUnusedWhileAnnounced guards against a runner that is given no run because
+// another writer stores an entry of a later incarnation again and again, more often
+// than an idle runner replies.
+func TestRunnerUnusedWhileAnnounced(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	other := info("a", "pool")
+	other.Incarnation = 2
+	lasting := job.ID("")
+	sent := f.now
+	for i := range lostPasses {
+		if f.now.Sub(sent) >= idlePollWait {
+			f.s.HandleReport(f.s.runners["a"].target(), sent, f.now, &runner.Report{Incarnation: 1, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond))})
+			sent = f.now
+		}
+		if i%30 == 0 {
+			f.s.SetRunner(other, f.now)
+		}
+		if i == 1 {
+			lasting = f.job(1, job.Step{LongRunning: true})
+		}
+		f.accept(f.plan())
+		if i > 1 && f.waitingTasks(lasting) == 0 {
+			return
+		}
+	}
+	t.Errorf("the long-running task waits %v for a runner that replies", lostBound)
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -28,7 +28,10 @@
 		if rs.announced == nil {
 			s.Logger.Log("msg", "runner restart announced", "runner", i.ID, "incarnation", int64(i.Incarnation), "present", int64(rs.Incarnation), "addr", i.Addr)
 		}
-		rs.announced, rs.announcedAt = &i, now
+		if rs.announced == nil || rs.announced.Incarnation != i.Incarnation {
+			rs.announcedAt = now // a reply after the first such entry shows that it is wrong
+		}
+		rs.announced = &i
 	case rs.isConfirmed() && i.Incarnation < rs.Incarnation:
 		return
 	default:
