--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
 
 // poolDemand is what a pool has and needs. CPU is in thousandths of a core.
@@ -37,12 +38,17 @@
 		d.machines++
 		d.maxCPU, d.maxMem = max(d.maxCPU, rs.Capacity.CPU), max(d.maxMem, rs.Capacity.Mem)
 		switch {
+		case len(rs.keptFor) > 0:
 		case len(rs.runs) == 0:
 			d.idle = append(d.idle, rs)
 		case rs.longRunning == 0:
 			d.busy = append(d.busy, rs)
 		}
 	}
+	present := make(map[string]int)
+	for name, d := range byPool {
+		present[name] = d.machines
+	}
 	for _, ms := range s.machineStates {
 		if d := byPool[ms.movingTo]; d != nil {
 			d.machines++
@@ -53,8 +59,11 @@
 	for name, d := range byPool {
 		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
-			present, soon := s.desiredCPU(name, now)
-			d.timely = max(d.timely, d.machinesFor(present), s.longRunningMachines(name, d.maxMem))
+			current, soon := s.desiredCPU(name, now)
+			d.timely = max(d.timely, d.machinesFor(current), s.longRunningMachines(d))
+			if n := s.machinesForUnplaced(d); n > 0 && len(d.idle) == 0 {
+				d.timely = max(d.timely, present[name]+n)
+			}
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		slices.SortFunc(d.busy, func(a, b *runnerState) int {
@@ -74,31 +83,59 @@
 }
 
 // longRunningMachines returns how many machines the long-running tasks of a
-// pool need for their memory and for the limit of tasks per runner, plus one
-// for a runner that leaves.
-func (s *State) longRunningMachines(pool string, memory int) int {
-	machines, total := 0, 0
-	for _, js := range s.open[pool] {
+// pool need for their demand, of which a machine takes only whole tasks, and for
+// the limit of tasks per runner, plus one for a runner that leaves.
+func (s *State) longRunningMachines(d *poolDemand) int {
+	machines, total := 0, 0.0
+	for _, js := range s.open[d.pool] {
 		if !js.def.LongRunning() {
 			continue
 		}
 		for i := range js.def.Steps {
 			sp := &js.def.Steps[i]
-			total += sp.Count * sp.Resources.Mem
+			if n := d.tasksPerMachine(sp.Demand()); n > 0 {
+				total += float64(sp.Count) / float64(n)
+			}
 			if sp.PerRunner > 0 {
 				machines = max(machines, (sp.Count+sp.PerRunner-1)/sp.PerRunner)
 			}
 		}
 	}
-	if memory > 0 {
-		machines = max(machines, (total+memory-1)/memory)
-	}
+	machines = max(machines, int(math.Ceil(total)))
 	if machines == 0 {
 		return 0
 	}
 	return machines + 1
 }
 
+// machinesForUnplaced returns how many more machines the long-running tasks of a pool
+// need that fit nowhere. A machine may lack the label of a step.
+func (s *State) machinesForUnplaced(d *poolDemand) int {
+	total := 0 // in thousandths, since the order of a map changes a sum of fractions
+	for st, tasks := range s.unplaced {
+		n := d.tasksPerMachine(st.spec.Demand())
+		if st.spec.PerRunner > 0 {
+			n = min(n, st.spec.PerRunner)
+		}
+		if n > 0 && st.spec.Label == "" && s.service(st.occ.job) == d.pool {
+			total += tasks * 1000 / n
+		}
+	}
+	return (total + 999) / 1000
+}
+
+// tasksPerMachine returns how many tasks of a demand the largest machine takes.
+func (d *poolDemand) tasksPerMachine(r job.Resources) int {
+	n := math.MaxInt
+	if r.CPU > 0 {
+		n = d.maxCPU / r.CPU
+	}
+	if r.Mem > 0 {
+		n = min(n, d.maxMem/r.Mem)
+	}
+	return n
+}
+
 // desiredCPU returns the CPU that a pool can use, in thousandths of a core: present
 // for the current arrivals and the work that can still meet its objective, soon for
 // the expected arrivals and with the late work.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -74,11 +74,11 @@
 }
 
 // largestFree returns, for each resource, the largest free amount on any
-// runner.
+// runner, with what is kept for tasks.
 func largestFree(runners []*runnerState) job.Resources {
 	var maxFree job.Resources
 	for _, rs := range runners {
-		f := rs.free()
+		f := rs.Capacity.Sub(rs.used)
 		maxFree = job.Resources{CPU: max(maxFree.CPU, f.CPU), Mem: max(maxFree.Mem, f.Mem), GPU: max(maxFree.GPU, f.GPU)}
 	}
 	return maxFree
@@ -137,31 +137,29 @@
 	noRoom               // its free capacity is too small
 	otherLabel           // it lacks the label of the step
 	quarantined          // tasks fail there, or it is being probed
-	noPermit             // the policy of the queue has not allowed it
 	unusable             // see usable
 	presentRun           // it has a run of the task
 	held                 // it is held for long-running tasks
 	stepLimit            // it has as many tasks of the step as may run there
+	noPermit             // the policy of the queue has not allowed it
 	isolated             // it is isolated for a suspect, or the task is one and it is not
 	obstacles            // number of obstacles
 )
 
 func (o obstacle) String() string {
-	return [...]string{"", "full", "label", "quarantined", "permit", "unusable", "present", "held", "limit", "isolation"}[o]
+	return [...]string{"", "full", "label", "quarantined", "unusable", "present", "held", "limit", "permit", "isolation"}[o]
 }
 
 // obstacleTo returns why a task may not run on a runner, apart from isolation.
 func (s *State) obstacleTo(rs *runnerState, t *task, now clock.BootTime) obstacle {
 	sp := t.step.spec
 	switch {
-	case !sp.Demand().Fits(rs.free()):
+	case !sp.Demand().Fits(rs.freeFor(t)):
 		return noRoom
 	case !rs.HasLabel(sp.Label):
 		return otherLabel
-	case !rs.health.allows(now, len(rs.runs)):
+	case !rs.health.allows(now, rs.probes()):
 		return quarantined
-	case !s.permitted(rs, t.step, now):
-		return noPermit
 	case !s.usable(rs, now):
 		return unusable
 	case rs.runs[t.name] != nil:
@@ -170,13 +168,21 @@
 		return held
 	case sp.PerRunner > 0 && runsOfStep(rs, t) >= sp.PerRunner:
 		return stepLimit
+	case !s.permitted(rs, t.step, now):
+		return noPermit
 	}
 	return noObstacle
 }
 
-// runsOfStep returns the number of runs of the same step on a runner.
+// runsOfStep returns the number of runs of the same step on a runner, with the
+// other tasks that room is kept for.
 func runsOfStep(rs *runnerState, t *task) int {
 	c := 0
+	for x := range rs.keptFor {
+		if x != t && x.step == t.step {
+			c++
+		}
+	}
 	for _, r := range rs.runs {
 		if r.task.step == t.step {
 			c++
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -28,7 +28,10 @@
 		if rs.announced == nil {
 			s.Logger.Log("msg", "runner restart announced", "runner", i.ID, "incarnation", int64(i.Incarnation), "present", int64(rs.Incarnation), "addr", i.Addr)
 		}
-		rs.announced, rs.announcedAt = &i, now
+		if rs.announced == nil || rs.announced.Incarnation != i.Incarnation {
+			rs.announcedAt = now // a reply after the first such entry shows that it is wrong
+		}
+		rs.announced = &i
 	case rs.isConfirmed() && i.Incarnation < rs.Incarnation:
 		return
 	default:
@@ -248,6 +251,9 @@
 		r.phase = running
 	}
 	r.percent, r.load = reported.Percent, reported.Load
+	if r.hasPassed(now) {
+		rs.health.recordSuccess()
+	}
 	if crash.IsProven(r.confirmedAt, now) {
 		s.clearCrashes(r.task)
 		r.task.proven = true
