sched: isolate several runners for the suspects of a long-running job

A job had one isolated runner at a time. With a limit of tasks a runner each suspect took one isolation, so that those of a job which loses many runners just after its starts waited for each other.

A long-running job now has one isolated runner more than have gone on after the start of a suspect since one of its suspects last crashed a runner, within the pool's share as before. A job that crashes its runners still takes down one at a time. Other jobs keep one: they fail at the next crash, and each further isolated runner could be one more crash.

An isolated runner without a start is freed as soon as no suspect could be started there, since others of the job may have run out of suspects to take.

--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -70,18 +70,22 @@
 	var waiting []*jobState
 	for js := range s.suspected {
 		waits, suspected := js.suspects()
-		if js.isolatedOn != nil && s.isolationOver(js, waits, now) {
-			js.isolatedOn.isolated, js.isolatedOn = nil, nil
-		}
-		switch {
-		case js.isolatedOn != nil:
-			if !js.isolatedOn.unreachable { // otherwise it does no other work either
+		js.endIsolations(func(rs *runnerState) bool { return s.isolationOver(js, rs, now) })
+		for _, rs := range js.isolatedOn {
+			if !rs.unreachable { // otherwise it does no other work either
 				isolated[s.service(js)]++
 			}
-		case !js.open() || !suspected:
-			delete(s.suspected, js)
-		case waits:
+		}
+		if waits {
 			waiting = append(waiting, js)
+			continue
+		}
+		if js.isolatedOn != nil {
+			continue
+		}
+		js.wentOn = 0
+		if !js.open() || !suspected {
+			delete(s.suspected, js)
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
@@ -90,27 +94,72 @@
 	for _, js := range waiting {
 		pool := s.service(js)
 		runners := s.usableRunners(pool, now)
-		if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
-			continue
-		}
-		if rs := s.chooseIsolated(runners, js, now); rs != nil {
-			rs.isolated, rs.isolatedAt, js.isolatedOn = js, now, rs
+		for range s.isolationsWanted(js, now) {
+			if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
+				break
+			}
+			rs := s.chooseIsolated(runners, js, now)
+			if rs == nil {
+				break
+			}
+			rs.isolated, rs.isolatedAt = js, now
+			js.isolatedOn = append(js.isolatedOn, rs)
 			s.newlyIsolated = append(s.newlyIsolated, rs.ID)
 			isolated[pool]++
-			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
+			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "isolated", len(js.isolatedOn), "went_on", js.wentOn,
+				"runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 		}
 	}
 }
 
-// isolationOver reports whether a runner is no longer needed for the suspects of
-// a job: its incarnation has ended, it went on after their starts, or they cannot
-// be started there.
-func (s *State) isolationOver(js *jobState, waits bool, now clock.BootTime) bool {
-	rs := js.isolatedOn
-	if rs.isolated != js {
-		js.isolatedOn = &runnerState{} // of an incarnation that has ended
-		return true
+// endIsolations removes from a job the isolated runners for which over returns
+// true.
+func (js *jobState) endIsolations(over func(*runnerState) bool) {
+	var kept []*runnerState
+	for _, rs := range js.isolatedOn {
+		switch {
+		case rs.isolated != js: // the incarnation has ended
+		case over(rs):
+			rs.isolated = nil
+		default:
+			kept = append(kept, rs)
+		}
+	}
+	js.isolatedOn = kept
+}
+
+// isolationsWanted returns how many more runners may be isolated for a job. A
+// long-running one may put as many at risk as went on since a suspect of it last
+// crashed one, and one more. Other jobs fail at the next crash, so that each further
+// runner could be lost for nothing.
+func (s *State) isolationsWanted(js *jobState, now clock.BootTime) int {
+	allowed := 1
+	if js.def.LongRunning() {
+		allowed += js.wentOn
 	}
+	wanted := s.startableSuspectCount(js, now)
+	for _, rs := range js.isolatedOn {
+		allowed--
+		if !rs.hasStarted() {
+			wanted--
+		}
+	}
+	return max(0, min(allowed, wanted))
+}
+
+// hasStarted reports whether an isolated runner has a run of a suspect.
+func (rs *runnerState) hasStarted() bool {
+	for _, r := range rs.runs {
+		if r.task.job == rs.isolated && r.task.crashes.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// isolationOver reports whether a runner is no longer needed for the suspects of
+// a job: it went on after their starts, or they cannot be started there.
+func (s *State) isolationOver(js *jobState, rs *runnerState, now clock.BootTime) bool {
 	started, fresh := false, false
 	for _, r := range rs.runs {
 		if r.task.job == js && r.task.crashes.Suspect {
@@ -122,10 +171,11 @@
 	case !js.open() || rs.ended:
 	case started && fresh, rs.unreachable && started:
 		return false
-	case !started && waits && s.usable(rs, now) && now.Sub(rs.isolatedAt) < isolationTimeout:
+	case !started && now.Sub(rs.isolatedAt) < isolationTimeout && s.suspectFits(js, rs, now):
 		return false
 	}
 	if started && !fresh {
+		js.wentOn++
 		for _, r := range runsOf(rs) {
 			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
 				s.setCrashes(t, t.crashes.WentOn())
@@ -195,3 +245,23 @@
 	}
 	return ts
 }
+
+// startableSuspectCount returns how many suspects of a job could be started on
+// isolated runners.
+func (s *State) startableSuspectCount(js *jobState, now clock.BootTime) int {
+	n := 0
+	for _, x := range s.startableSuspects(js, now) {
+		for _, t := range x.step.tasks {
+			if t.crashes.Suspect && s.startable(t, now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// suspectFits reports whether a suspect of a job could be started on a runner that
+// is isolated for it.
+func (s *State) suspectFits(js *jobState, rs *runnerState, now clock.BootTime) bool {
+	return slices.ContainsFunc(s.startableSuspects(js, now), func(t *task) bool { return s.eligible(rs, t, now) })
+}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -147,7 +147,10 @@
 	closed                 clock.BootTime // when the outcome was set
 	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
-	isolatedOn             *runnerState // isolated for its suspects; nil: none
+	isolatedOn             []*runnerState // isolated for its suspects; nil: none
+	// wentOn is how many isolated runners went on after the starts of suspects since
+	// one of them last crashed a runner.
+	wentOn int
 }
 
 // configure applies a configuration.
