sched: isolate runners for long-running suspects first

A pool isolates half of its usable runners at most, in the order in which the jobs were accepted. The suspects of a long-running job, which must run again within a fixed time, waited behind those of all batch jobs before it.

Jobs with long-running tasks now come first.

--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -89,7 +89,7 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
+		return cmp.Or(compareBool(b.def.LongRunning(), a.def.LongRunning()), cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
 	})
 	for _, js := range waiting {
 		pool := s.service(js)
--- a/internal/sched/suspects_wait_test.go
+++ b/internal/sched/suspects_wait_test.go
@@ -180,6 +180,29 @@
 	}
 }
 
+// TestLastingSuspectsBehindBatch guards against long-running suspects that wait
+// while runners are isolated for the suspects of other jobs.
+func TestLastingSuspectsBehindBatch(t *testing.T) {
+	f := newTimedFixture(t, 10)
+	var ids []job.ID
+	for i := range 120 {
+		ids = append(ids, f.job(1+i, job.Step{Resources: job.Resources{CPU: 100, Mem: 10}}))
+	}
+	f.now += second
+	st := f.lasting(1000, 4)
+	for _, x := range st.tasks {
+		f.suspect(x.name)
+	}
+	for _, id := range ids {
+		f.suspect(job.Task{Job: id})
+	}
+	took := f.run(20*time.Second, func() bool { return atWork(st) == len(st.tasks) })
+	t.Logf("all %d long-running tasks at work after %v", atWork(st), took)
+	if took > maxRestart {
+		t.Errorf("the last long-running task is at work after %v, want at most %v", took, maxRestart)
+	}
+}
+
 // TestDeadlyJobCrashesMoreRunners guards against a job of tasks that crash their
 // runners which takes down more of them because several are started at a time.
 func TestDeadlyJobCrashesMoreRunners(t *testing.T) {
