sched: let no silent isolated runner hold up other suspects for its lease

A runner that went silent after the start of a suspect stayed isolated until its lease had expired and the term was confirmed, so that all other suspects of the job waited more than 6 s.

It now counts among the runners at risk only until its crash would be known, 3.5 s after its last reply.

--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -55,6 +55,10 @@
 	// is started there. The polls of an isolated runner do not wait, so that a longer
 	// silence means that it may have crashed.
 	maxSuspectReplyAge = 60 * time.Millisecond
+	// maxCrashUnknown is how long after the last reply of a runner its crash is known
+	// as a rule: another one replies in its place. A longer silence rather means that
+	// it is cut off or frozen.
+	maxCrashUnknown = 3500 * time.Millisecond
 	// maxBusyReplyAge is the age that the last reply of a runner with runs reaches
 	// while the runner is well.
 	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
@@ -131,7 +135,8 @@
 // isolationsWanted returns how many more runners may be isolated for a job. A
 // long-running one may put as many at risk as went on since a suspect of it last
 // crashed one, and one more. Other jobs fail at the next crash, so that each further
-// runner could be lost for nothing.
+// runner could be lost for nothing. One that is silent after a start counts until its
+// crash would be known.
 func (s *State) isolationsWanted(js *jobState, now clock.BootTime) int {
 	allowed := 1
 	if js.def.LongRunning() {
@@ -139,10 +144,13 @@
 	}
 	wanted := s.startableSuspectCount(js, now)
 	for _, rs := range js.isolatedOn {
-		allowed--
-		if !rs.hasStarted() {
+		started := rs.hasStarted()
+		if !started {
 			wanted--
 		}
+		if !started || now.Sub(rs.lastReply) < maxCrashUnknown {
+			allowed--
+		}
 	}
 	return max(0, min(allowed, wanted))
 }
--- a/internal/sched/suspects_wait_test.go
+++ b/internal/sched/suspects_wait_test.go
@@ -180,6 +180,26 @@
 	}
 }
 
+// TestSuspectsWaitForSilentRunner guards against suspects that wait for the lease of
+// a runner which was isolated for their job and has gone silent.
+func TestSuspectsWaitForSilentRunner(t *testing.T) {
+	f := newTimedFixture(t, 60)
+	st := f.lasting(1, 24)
+	f.loseAll(st)
+	silenced := false
+	f.onStart = func(Command) (bool, time.Duration) {
+		silent := !silenced
+		silenced = true
+		return silent, 0
+	}
+	took := f.run(20*time.Second, func() bool { return silenced })
+	took += f.run(20*time.Second, func() bool { return atWork(st) == len(st.tasks) })
+	t.Logf("all %d tasks, one on a silent runner, at work after %v", atWork(st), took)
+	if took > maxRestart {
+		t.Errorf("the last task is at work %v after the crashes are known, want at most %v", took, maxRestart)
+	}
+}
+
 // TestLastingSuspectsBehindBatch guards against long-running suspects that wait
 // while runners are isolated for the suspects of other jobs.
 func TestLastingSuspectsBehindBatch(t *testing.T) {
