sched: keep the isolations of a job apart from its state

And a job that ended with suspects that wait stayed among those that are planned for. TestDeadlyJobCrashesMoreRunners now checks that.

--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -64,6 +64,14 @@
 	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
 )
 
+// isolation is the runners that are isolated for the suspects of a job.
+type isolation struct {
+	runners []*runnerState
+	// wentOn is how many of them went on after the starts of suspects since one of
+	// those last crashed a runner.
+	wentOn int
+}
+
 // planIsolation isolates runners for the jobs with suspects that wait, and frees
 // those on which the suspects have been started and did not crash it.
 func (s *State) planIsolation(now clock.BootTime) {
@@ -74,20 +82,23 @@
 	var waiting []*jobState
 	for js := range s.suspected {
 		waits, suspected := js.suspects()
-		js.endIsolations(func(rs *runnerState) bool { return s.isolationOver(js, rs, now) })
-		for _, rs := range js.isolatedOn {
+		if js.isolatedOn == nil {
+			js.isolatedOn = &isolation{}
+		}
+		s.endIsolations(js, now)
+		for _, rs := range js.isolatedOn.runners {
 			if !rs.unreachable { // otherwise it does no other work either
 				isolated[s.service(js)]++
 			}
 		}
-		if waits {
+		if waits && js.open() {
 			waiting = append(waiting, js)
 			continue
 		}
-		if js.isolatedOn != nil {
+		if len(js.isolatedOn.runners) > 0 {
 			continue
 		}
-		js.wentOn = 0
+		js.isolatedOn = nil
 		if !js.open() || !suspected {
 			delete(s.suspected, js)
 		}
@@ -107,29 +118,27 @@
 				break
 			}
 			rs.isolated, rs.isolatedAt = js, now
-			js.isolatedOn = append(js.isolatedOn, rs)
+			js.isolatedOn.runners = append(js.isolatedOn.runners, rs)
 			s.newlyIsolated = append(s.newlyIsolated, rs.ID)
 			isolated[pool]++
-			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "isolated", len(js.isolatedOn), "went_on", js.wentOn,
+			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "isolated", len(js.isolatedOn.runners), "went_on", js.isolatedOn.wentOn,
 				"runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 		}
 	}
 }
 
-// endIsolations removes from a job the isolated runners for which over returns
-// true.
-func (js *jobState) endIsolations(over func(*runnerState) bool) {
-	var kept []*runnerState
-	for _, rs := range js.isolatedOn {
-		switch {
-		case rs.isolated != js: // the incarnation has ended
-		case over(rs):
-			rs.isolated = nil
-		default:
-			kept = append(kept, rs)
+// endIsolations frees the isolated runners that a job no longer needs.
+func (s *State) endIsolations(js *jobState, now clock.BootTime) {
+	js.isolatedOn.runners = slices.DeleteFunc(js.isolatedOn.runners, func(rs *runnerState) bool {
+		if rs.isolated != js {
+			return true // the incarnation has ended
 		}
-	}
-	js.isolatedOn = kept
+		if !s.isolationOver(js, rs, now) {
+			return false
+		}
+		rs.isolated = nil
+		return true
+	})
 }
 
 // isolationsWanted returns how many more runners may be isolated for a job. A
@@ -140,10 +149,10 @@
 func (s *State) isolationsWanted(js *jobState, now clock.BootTime) int {
 	allowed := 1
 	if js.def.LongRunning() {
-		allowed += js.wentOn
+		allowed += js.isolatedOn.wentOn
 	}
 	wanted := s.startableSuspectCount(js, now)
-	for _, rs := range js.isolatedOn {
+	for _, rs := range js.isolatedOn.runners {
 		started := rs.hasStarted()
 		if !started {
 			wanted--
@@ -183,7 +192,7 @@
 		return false
 	}
 	if started && !fresh {
-		js.wentOn++
+		js.isolatedOn.wentOn++
 		for _, r := range runsOf(rs) {
 			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
 				s.setCrashes(t, t.crashes.WentOn())
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -147,10 +147,7 @@
 	closed                 clock.BootTime // when the outcome was set
 	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
-	isolatedOn             []*runnerState // isolated for its suspects; nil: none
-	// wentOn is how many isolated runners went on after the starts of suspects since
-	// one of them last crashed a runner.
-	wentOn int
+	isolatedOn             *isolation // nil: no suspect waits or is being tried
 }
 
 // configure applies a configuration.
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -50,8 +50,8 @@
 			continue
 		}
 		s.setCrashes(t, v.Record)
-		if runs[i].Suspect {
-			t.job.wentOn = 0
+		if is := t.job.isolatedOn; is != nil && runs[i].Suspect {
+			is.wentOn = 0
 		}
 		if runs[i].ConfirmedAt == 0 {
 			unconfirmed++
--- a/internal/sched/suspects_wait_test.go
+++ b/internal/sched/suspects_wait_test.go
@@ -247,6 +247,9 @@
 			if f.crashes > c.limit {
 				t.Errorf("%d runners crashed, want at most %d", f.crashes, c.limit)
 			}
+			if f.outcome(id) != job.Open && len(f.s.suspected) > 0 {
+				t.Error("the suspects of a job that has ended are kept")
+			}
 		})
 	}
 }
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -94,7 +94,7 @@
 		return "may run on a runner of the previous term"
 	case t.reserved != 0 && t.job.storedVersion < t.reservedVersion:
 		return "record not stored"
-	case t.crashes.Suspect && t.job.isolatedOn == nil:
+	case t.crashes.Suspect && (t.job.isolatedOn == nil || len(t.job.isolatedOn.runners) == 0):
 		return "suspect, no runner isolated"
 	case t.crashes.Suspect:
 		return "suspect, runner isolated"
