sched: count a suspect's start only if its runner has room for it

When an isolated runner replied, a start was counted and stored for each suspect of its job at once, though with a limit of one task a runner only one could be sent. The next leader counts again, so that after two changes of the leader tasks that were never started again had as many starts without a known end as exhaust a task, and were given up.

A step now counts no more starts than fit on the runner beside each other. Unit trial (TestWaitingSuspectsCounted), 24 suspects of a job: 24 counted when the first start is sent before, 1 now.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -39,6 +39,7 @@
 	var last *runnerState
 	var group scheduled
 	full := false // no runner fits the tasks that are not suspects
+	reserved := make(map[*runnerState]int)
 	for _, t := range st.tasks {
 		if full && !t.crashes.Suspect || !s.startable(t, now) {
 			continue
@@ -67,12 +68,30 @@
 				s.logScheduled(&group, now)
 				group = scheduled{task: t, last: t, runner: rs, attempt: attempt, why: reason(c, rs, t)}
 			}
+		} else if t.crashes.Suspect {
+			// A start that is counted before its runner has room for it would stay
+			// counted if the leader ended.
+			if reserved[rs]++; !hasRoomBeside(rs, t, reserved[rs]) {
+				last = nil
+				runners = slices.DeleteFunc(slices.Clone(runners), func(x *runnerState) bool { return x == rs })
+			}
 		}
 	}
 	s.logScheduled(&group, now)
 	return started
 }
 
+// hasRoomBeside reports whether a runner has room for one more task of a step
+// beside n tasks of it that have no run yet.
+func hasRoomBeside(rs *runnerState, t *task, n int) bool {
+	sp := t.step.spec
+	d, free := sp.Demand(), rs.free()
+	for range n {
+		free = free.Sub(d)
+	}
+	return d.Fits(free) && (sp.PerRunner == 0 || runsOfStep(rs, t)+n < sp.PerRunner)
+}
+
 // largestFree returns, for each resource, the largest free amount on any
 // runner.
 func largestFree(runners []*runnerState) job.Resources {
--- a/internal/sched/suspects_wait_test.go
+++ b/internal/sched/suspects_wait_test.go
@@ -223,6 +223,24 @@
 	}
 }
 
+// TestWaitingSuspectsCounted guards against a task that is given up for starts which
+// were counted while it waited for other suspects, and never sent.
+func TestWaitingSuspectsCounted(t *testing.T) {
+	f := newTimedFixture(t, 60)
+	st := f.lasting(1, 24)
+	f.loseAll(st)
+	started := false
+	f.onStart = func(Command) (bool, time.Duration) { started = true; return false, 0 }
+	f.run(5*time.Second, func() bool { return started })
+	counted := 0
+	for _, x := range st.tasks {
+		counted += x.crashes.Unresolved
+	}
+	if counted != 1 {
+		t.Errorf("%d starts of suspects are counted when the first is sent, want 1", counted)
+	}
+}
+
 // TestDeadlyJobCrashesMoreRunners guards against a job of tasks that crash their
 // runners which takes down more of them because several are started at a time.
 func TestDeadlyJobCrashesMoreRunners(t *testing.T) {
