--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -55,11 +55,23 @@
 	// is started there. The polls of an isolated runner do not wait, so that a longer
 	// silence means that it may have crashed.
 	maxSuspectReplyAge = 60 * time.Millisecond
+	// maxCrashUnknown is how long after the last reply of a runner its crash is known
+	// as a rule: its entry is removed after three heartbeats, and another one replies
+	// in its place. A longer silence rather means that it is cut off or frozen.
+	maxCrashUnknown = 3500 * time.Millisecond
 	// maxBusyReplyAge is the age that the last reply of a runner with runs reaches
 	// while the runner is well.
 	maxBusyReplyAge = busyPollWait + 100*time.Millisecond
 )
 
+// isolation is the runners that are isolated for the suspects of a job.
+type isolation struct {
+	runners []*runnerState
+	// wentOn is how many of them went on after the starts of suspects since one of
+	// those last crashed a runner.
+	wentOn int
+}
+
 // planIsolation isolates runners for the jobs with suspects that wait, and frees
 // those on which the suspects have been started and did not crash it.
 func (s *State) planIsolation(now clock.BootTime) {
@@ -70,47 +82,101 @@
 	var waiting []*jobState
 	for js := range s.suspected {
 		waits, suspected := s.suspects(js, now)
-		if js.isolatedOn != nil && s.isolationOver(js, waits, now) {
-			js.isolatedOn.isolated, js.isolatedOn = nil, nil
+		if js.isolatedOn == nil {
+			js.isolatedOn = &isolation{}
 		}
-		switch {
-		case js.isolatedOn != nil:
-			if !js.isolatedOn.unreachable { // otherwise it does no other work either
+		s.endIsolations(js, now)
+		for _, rs := range js.isolatedOn.runners {
+			if !rs.unreachable { // otherwise it does no other work either
 				isolated[s.service(js)]++
 			}
-		case !js.open() || !suspected:
-			delete(s.suspected, js)
-		case waits:
+		}
+		if waits && js.open() {
 			waiting = append(waiting, js)
+			continue
+		}
+		if len(js.isolatedOn.runners) > 0 {
+			continue
+		}
+		js.isolatedOn = nil
+		if !js.open() || !suspected {
+			delete(s.suspected, js)
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
+		return cmp.Or(compareBool(b.def.LongRunning(), a.def.LongRunning()), cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.def.ID, b.def.ID))
 	})
 	for _, js := range waiting {
 		pool := s.service(js)
 		runners := s.usableRunners(pool, now)
-		if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
-			continue
-		}
-		if rs := s.chooseIsolated(runners, js, now); rs != nil {
-			rs.isolated, rs.isolatedAt, js.isolatedOn = js, now, rs
+		for range s.isolationsWanted(js, now) {
+			if isolated[pool] >= max(1, len(runners)/isolationDivisor) {
+				break
+			}
+			rs := s.chooseIsolated(runners, js, now)
+			if rs == nil {
+				break
+			}
+			rs.isolated, rs.isolatedAt = js, now
+			js.isolatedOn.runners = append(js.isolatedOn.runners, rs)
 			s.newlyIsolated = append(s.newlyIsolated, rs.ID)
 			isolated[pool]++
-			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
+			s.Logger.Log("msg", "runner isolated", "runner", rs.ID, "service", pool, "job", js.def.ID, "isolated", len(js.isolatedOn.runners), "went_on", js.isolatedOn.wentOn,
+				"runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 		}
 	}
 }
 
-// isolationOver reports whether a runner is no longer needed for the suspects of
-// a job: its incarnation has ended, it went on after their starts, or they cannot
-// be started there.
-func (s *State) isolationOver(js *jobState, waits bool, now clock.BootTime) bool {
-	rs := js.isolatedOn
-	if rs.isolated != js {
-		js.isolatedOn = &runnerState{} // of an incarnation that has ended
+// endIsolations frees the isolated runners that a job no longer needs.
+func (s *State) endIsolations(js *jobState, now clock.BootTime) {
+	js.isolatedOn.runners = slices.DeleteFunc(js.isolatedOn.runners, func(rs *runnerState) bool {
+		if rs.isolated != js {
+			return true // the incarnation has ended
+		}
+		if !s.isolationOver(js, rs, now) {
+			return false
+		}
+		rs.isolated = nil
 		return true
+	})
+}
+
+// isolationsWanted returns how many more runners may be isolated for a job. A
+// long-running one may put as many at risk as went on since a suspect of it last
+// crashed one, and one more. Other jobs fail at the next crash, so that each further
+// runner could be lost for nothing. One that is silent after a start counts until its
+// crash would be known.
+func (s *State) isolationsWanted(js *jobState, now clock.BootTime) int {
+	allowed := 1
+	if js.def.LongRunning() {
+		allowed += js.isolatedOn.wentOn
 	}
+	wanted := s.startableSuspectCount(js, now)
+	for _, rs := range js.isolatedOn.runners {
+		started := rs.hasStarted()
+		if !started {
+			wanted--
+		}
+		if !started || now.Sub(rs.lastReply) < maxCrashUnknown {
+			allowed--
+		}
+	}
+	return max(0, min(allowed, wanted))
+}
+
+// hasStarted reports whether an isolated runner has a run of a suspect.
+func (rs *runnerState) hasStarted() bool {
+	for _, r := range rs.runs {
+		if r.task.job == rs.isolated && r.task.crashes.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// isolationOver reports whether a runner is no longer needed for the suspects of
+// a job: it went on after their starts, or they cannot be started there.
+func (s *State) isolationOver(js *jobState, rs *runnerState, now clock.BootTime) bool {
 	started, fresh := false, false
 	for _, r := range rs.runs {
 		if r.task.job == js && r.task.crashes.Suspect {
@@ -122,10 +188,11 @@
 	case !js.open() || rs.ended:
 	case started && fresh, rs.unreachable && started:
 		return false
-	case !started && waits && s.usable(rs, now) && now.Sub(rs.isolatedAt) < isolationTimeout:
+	case !started && now.Sub(rs.isolatedAt) < isolationTimeout && s.suspectFits(js, rs, now):
 		return false
 	}
 	if started && !fresh {
+		js.isolatedOn.wentOn++
 		for _, r := range runsOf(rs) {
 			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
 				s.setCrashes(t, t.crashes.WentOn())
@@ -195,3 +262,23 @@
 	}
 	return ts
 }
+
+// startableSuspectCount returns how many suspects of a job could be started on
+// isolated runners.
+func (s *State) startableSuspectCount(js *jobState, now clock.BootTime) int {
+	n := 0
+	for _, x := range s.startableSuspects(js, now) {
+		for _, t := range x.step.tasks {
+			if t.crashes.Suspect && s.startable(t, now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// suspectFits reports whether a suspect of a job could be started on a runner that
+// is isolated for it.
+func (s *State) suspectFits(js *jobState, rs *runnerState, now clock.BootTime) bool {
+	return slices.ContainsFunc(s.startableSuspects(js, now), func(t *task) bool { return s.eligible(rs, t, now) })
+}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -149,7 +149,7 @@
 	closed                 clock.BootTime // when the outcome was set
 	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
-	isolatedOn             *runnerState // isolated for its suspects; nil: none
+	isolatedOn             *isolation // nil: no suspect waits or is being tried
 }
 
 // configure applies a configuration.
