--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -38,7 +38,7 @@
 	started := false
 	var last *runnerState
 	var group scheduled
-	full := false // no runner fits the tasks that are not suspects
+	full := false                     // no runner fits the tasks that are not suspects
 	var reserved map[*runnerState]int // starts that are counted and wait for the store
 	for _, t := range st.tasks {
 		if full && !t.crashes.Suspect || !s.startable(t, now) {
