sched: a list of machines ends runners of the previous term

Callers saw long-running tasks without a run for 12.6 s when runners left for good while the leader was frozen or its key was taken away (LOST).

Cause: a new leader starts no task of an earlier term while a runner of the roster has not replied and its lease may last, 11.3 s if the process of the former leader is not known to have ended. A time limit stood in place of evidence that is at hand.

Change: a runner is one life of a machine, and the list of machines names the runner of each. A runner of a previous term has ended if two lists in a row do not name it, and the second was requested after its entry was removed from the store and after the last command that a previous leader can have sent it (RenewDeadline). An incarnation that starts later under the same ID gets no command of theirs. The state "down" counts for nothing. While a new leader waits, it lists the machines each second instead of each two.

TestWaitForUnlistedRunner fails with the evidence left out ("no start within 7 s").

--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -15,8 +15,9 @@
 // because fencing protects the next leader. It stops when it has not renewed
 // its lease for RenewDeadline. The next leader relies on that limit for runners
 // that it cannot reach: it assumes that their runs may last for RenewDeadline
-// plus the maximum runner lease. Results are not acknowledged to runners until
-// their effect is stored.
+// plus the maximum runner lease, unless the list of machines shows after
+// RenewDeadline that they have ended. Results are not acknowledged to runners
+// until their effect is stored.
 //
 // # Ownership
 //
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -216,12 +216,16 @@
 // moves; only the list shows machines that are powered off.
 const listInterval = 2 * time.Second
 
+// previousListInterval applies while runners of previous terms may still have runs.
+const previousListInterval = time.Second
+
 // listMachines lists the machines repeatedly and applies the result.
 func (t *term) listMachines(ctx context.Context) {
 	if t.cfg.Machines == nil {
 		return
 	}
 	for ctx.Err() == nil {
+		interval, sent := listInterval, clock.Now()
 		ms, err := t.cfg.Machines.List(ctx)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -230,9 +234,14 @@
 		} else {
 			t.mu.Lock()
 			t.state.SetMachines(ms, clock.Now())
+			t.state.RunnersListed(ms, sent, clock.Now())
+			if t.state.WaitsForPrevious() {
+				interval = previousListInterval
+			}
 			t.mu.Unlock()
+			t.notify()
 		}
-		clock.Sleep(ctx, listInterval)
+		clock.Sleep(ctx, interval)
 	}
 }
 
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -17,10 +18,11 @@
 	replaced                     // another runner replied where it had replied before
 	inUpkeep                     // its machine accepted a maintenance command
 	machineMoved                 // its machine accepted a move command
+	unlisted                     // it is the present life of no machine
 )
 
 func (e evidence) String() string {
-	return [...]string{"runner restarted", "runner is gone", "machine in maintenance", "its machine moves"}[e]
+	return [...]string{"runner restarted", "runner is gone", "machine in maintenance", "its machine moves", "no machine lists it"}[e]
 }
 
 // isConfirmed reports whether the incarnation is known from a reply of its own.
@@ -152,6 +154,45 @@
 	s.endIncarnation(rs, why, now)
 }
 
+// RunnersListed records the list of machines that this term requested at the time
+// sent. It ends runners of previous terms that have not replied: a runner is one life
+// of a machine, which is over if no machine lists it. The pages of a list are not a
+// snapshot, so that two lists must agree. The second must be requested once the entry
+// of the runner is removed from the store and previous leaders send it no commands:
+// an incarnation that starts after that, under the same ID, gets none.
+func (s *State) RunnersListed(machines []machine.Machine, sent, now clock.BootTime) {
+	if len(s.inherited) == 0 || len(machines) == 0 {
+		return
+	}
+	listed := make(map[runner.ID]bool, len(machines))
+	for i := range machines {
+		listed[machines[i].Runner] = true
+	}
+	for id, in := range s.inherited {
+		rs := s.runners[id]
+		if rs == nil || rs.replied || rs.Machine == "" || !rs.isConfirmed() {
+			continue
+		}
+		again := rs.unlisted
+		rs.unlisted = !listed[id]
+		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, s.lastCommand(in))) {
+			continue
+		}
+		s.Logger.Log("msg", "runner of previous term has ended", "runner", id, "why", unlisted, "machine", rs.Machine, "left", in.until.Sub(now))
+		s.endIncarnation(rs, unlisted, now)
+		s.removeDeregistered(rs, now)
+	}
+}
+
+// lastCommand returns the time after which no previous leader sends commands to a
+// runner.
+func (s *State) lastCommand(in *inherited) clock.BootTime {
+	return in.until.Add(-s.Limits.MaxRunnerLease - s.Limits.MaxRunnerLease/20)
+}
+
+// WaitsForPrevious reports whether runners of previous terms may still have runs.
+func (s *State) WaitsForPrevious() bool { return len(s.inherited) > 0 }
+
 // endIncarnation records that all runs on a runner ended with its incarnation.
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -3,9 +3,11 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -336,3 +338,89 @@
 		t.Errorf("incarnation %d after a late reply of an earlier one, want 3", got)
 	}
 }
+
+// lostRunner returns a term whose previous leader may go on, with a task that may run
+// on a runner which has not replied, and the list of machines without that runner.
+func lostRunner(t *testing.T) (*fixture, []machine.Machine) {
+	t.Helper()
+	f := newFixture(t, 200)
+	f.s.Limits.RunnerTakeover = 11300 * time.Millisecond
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1}})
+	f.s.SetRunner(info("a", "pool"), f.now)
+	f.runner("b")
+	f.job(1, job.Step{LongRunning: true})
+	return f, []machine.Machine{{ID: "m-a", State: machine.Down}, {ID: "m-b", Runner: "b"}}
+}
+
+// startAfter lets a second pass at a time, with a list of machines that was requested
+// at its start, and returns after which of them the task is started.
+func (f *fixture) startAfter(seconds int, list func(at int) []machine.Machine) int {
+	for i := range seconds {
+		sent := f.now + 1
+		f.now += second
+		if ms := list(i); ms != nil {
+			f.s.RunnersListed(ms, sent, f.now)
+		}
+		f.report("b")
+		if len(ofKind(f.plan(), StartRun)) > 0 {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// TestWaitForUnlistedRunner guards against long-running tasks that wait over 9 s
+// because the previous leader may have extended the lease of a runner that has ended.
+func TestWaitForUnlistedRunner(t *testing.T) {
+	f, ms := lostRunner(t)
+	got := f.startAfter(7, func(at int) []machine.Machine { // the term starts up to 2 s after the loss
+		if at == 3 {
+			f.s.DeregisterRunner("a", f.now)
+		}
+		return ms
+	})
+	if got == 0 {
+		t.Error("no start within 7 s")
+	}
+	if got > 0 && got < 6 {
+		t.Errorf("started after %d s: the previous leader may send commands for 5 s", got)
+	}
+}
+
+// TestListedRunnerMayRun guards against a second run while the one on a runner of
+// the previous term may go on.
+func TestListedRunnerMayRun(t *testing.T) {
+	for name, list := range map[string]func(f *fixture, ms []machine.Machine, at int) []machine.Machine{
+		"listed": func(f *fixture, ms []machine.Machine, _ int) []machine.Machine {
+			f.s.DeregisterRunner("a", f.now)
+			return append(ms[1:], machine.Machine{ID: "m-a", Runner: "a"})
+		},
+		"registered": func(_ *fixture, ms []machine.Machine, _ int) []machine.Machine { return ms },
+		"one list": func(f *fixture, ms []machine.Machine, at int) []machine.Machine {
+			f.s.DeregisterRunner("a", f.now)
+			if at%2 == 0 {
+				return append(ms[1:], machine.Machine{ID: "m-a", Runner: "a"})
+			}
+			return ms
+		},
+		"no machines": func(f *fixture, ms []machine.Machine, _ int) []machine.Machine {
+			f.s.DeregisterRunner("a", f.now)
+			return ms[:0]
+		},
+		"requested before": func(f *fixture, ms []machine.Machine, at int) []machine.Machine {
+			f.s.DeregisterRunner("a", f.now)
+			f.s.RunnersListed(ms, f.s.startedAt, f.now)
+			if at < 5 {
+				return ms
+			}
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, ms := lostRunner(t)
+			if got := f.startAfter(10, func(at int) []machine.Machine { return list(f, ms, at) }); got != 0 {
+				t.Errorf("started after %d s", got)
+			}
+		})
+	}
+}
--- a/internal/sched/model_restart_test.go
+++ b/internal/sched/model_restart_test.go
@@ -185,16 +185,40 @@
 	return func(t *rapid.T) {
 		m := newModel(t, weaken, true)
 		m.lateReplies = true
-		m.repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"submit": m.submit, "pass": m.advance, "plan": m.plan, "flush": m.flush, "look": m.poll, "look2": m.poll,
 			"deliver": m.deliver, "deliver2": m.deliver, "round": m.round, "round2": m.round, "round3": m.round, "late": m.deliverDelayed,
 			"late report": m.deliverReport, "finish": m.finish, "cut runner": m.toggleRunnerLink, "cut store": m.toggleStoreLink,
 			"elect": m.maybeElect, "crash": m.crash, "entry": m.writeEntry, "entry2": m.writeEntry,
 			"round4": m.round, "late2": m.deliverDelayed,
-		})
+		}
+		m.addLists(actions)
+		m.repeat(actions)
 	}
 }
 
+// checkLists runs the model with runners that crash and leaders that are cut off while
+// they work, beside lists of machines; weaken names a safeguard to leave out: "listed",
+// looking at when a list was requested; "pages", looking at a second list.
+func checkLists(weaken string) func(*rapid.T) {
+	return func(t *rapid.T) {
+		m := newModel(t, weaken, true)
+		actions := map[string]func(*rapid.T){
+			"submit": m.submit, "pass": m.advance, "round": m.round, "crash": m.crash, "restart": m.restart,
+			"lose runner": m.loseRunner, "work": m.work, "work2": m.work, "deliver": m.deliver, "finish": m.finish,
+		}
+		m.addLists(actions)
+		actions["list2"], actions["late list2"] = m.listMachines, m.deliverList
+		m.repeat(actions)
+	}
+}
+
+// TestOneRunBesideLists guards against two runs of a task where lists of machines
+// show that runners have ended.
+func TestOneRunBesideLists(t *testing.T) {
+	rapid.Check(t, checkLists(""))
+}
+
 // TestOneRunAcrossRestarts guards against the same where runners crash and start
 // again while commands and replies are on their way, and where another writer
 // changes their entries.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -37,6 +37,7 @@
 	commands       []Command
 	previous       *modelLeader // whose term came before
 	rosterBy       runner.Term  // who had stored the roster that it inherited
+	missed         *modelRunner // the last list of machines missed it
 }
 
 // delayed is a command that reaches its runner later.
@@ -66,6 +67,7 @@
 	ended     map[job.Task]bool            // a run has ended as done
 	entries   map[*modelRunner]runner.Info // in the store
 	polls     []*modelPoll                 // those whose replies are on their way
+	lists     []*modelList                 // the same of machines
 	weaken    string
 	freeAddr  netip.AddrPort // an address that no runner has
 	// lateReplies lets replies to polls arrive late.
@@ -517,13 +519,14 @@
 // checkLeaders runs the model with leaders that are cut off one after the other while
 // they work; weaken names a safeguard to leave out: "ended", waiting for the previous
 // leader while its process may go on; "author", waiting for a leader before that one,
-// which stored the roster.
+// which stored the roster; "pages", looking at a second list of machines.
 func checkLeaders(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newModel(t, weaken, true)
 		m.maxLeaders = 3
 		actions := m.actions()
 		actions["end previous"], actions["cut leader"], actions["work"] = m.endPrevious, m.cutLeader, m.work
+		m.addLists(actions)
 		m.repeat(actions)
 	}
 }
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -35,6 +35,7 @@
 	endedAt        clock.BootTime // when that was recorded
 	replied        bool           // it has replied in this term, in this incarnation
 	unreachable    bool           // it did not reply to the last poll
+	unlisted       bool           // the last list of machines that this term requested does not name it
 	followsAnother bool           // an earlier incarnation had the ID in this term
 	clock          clock.Reading
 	leaseUntil     clock.RunnerTime // latest lease end that any term may have sent
--- a/internal/sched/weakened_test.go
+++ b/internal/sched/weakened_test.go
@@ -18,8 +18,9 @@
 	for _, weaken := range []string{"address", "entry", "unsettled", "roster"} {
 		models[weaken] = checkRestarts(weaken)
 	}
-	for _, weaken := range []string{"ended", "author"} {
+	for _, weaken := range []string{"ended", "author", "pages"} {
 		models[weaken] = checkLeaders(weaken)
 	}
+	models["listed"] = checkLists("listed")
 	modeltest.MustFail(t, models)
 }
