sched: store the machines of runners in the roster

Cause: the list of machines ends a runner of a previous term only if its machine is known, which came from its entry in the store. Machines move all the time, and the entry of one that had just moved was gone before the second term loaded the state. Class: evidence that is at hand is not kept. Change: the roster entry of a runner has its machine; terms pass it on. Entries of earlier versions have none, and the former wait applies.

--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -34,6 +34,14 @@
 // start, or those of MaxSharedCrashes runs within ProvenAfter. A run that goes on
 // for ProvenAfter, or ends with a result, clears its task.
 //
+// # Long-running tasks
+//
+// A long-running task serves until its job is cancelled, so that giving it up costs
+// more than a late start. Once MaxCrashes runners may have crashed under it, it is
+// started only while its pool loses few runners: a crash after that start tells that
+// the task is to blame, and a run that goes on that it is not. It is given up after
+// MaxSharedCrashes, or after MaxUncertainCrashes if most of them are not certain.
+//
 // # Change of leader
 //
 // A record is stored before its task is started again, and each start of a
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -453,3 +453,31 @@
 		})
 	}
 }
+
+// TestWaitForRunnerWithoutEntry guards against the same wait where the entry of the
+// runner was removed before the term began.
+func TestWaitForRunnerWithoutEntry(t *testing.T) {
+	f := newFixture(t, 200)
+	f.s.Limits.RunnerTakeover = 11300 * time.Millisecond
+	f.s.InheritRoster([]RosterEntry{{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1, Machine: "m-a"}})
+	f.runner("b")
+	f.job(1, job.Step{LongRunning: true})
+	list := []machine.Machine{{ID: "m-a", Runner: "c"}, {ID: "m-b", Runner: "b"}}
+	if got := f.startAfter(7, func(int) []machine.Machine { return list }); got < 6 {
+		t.Errorf("started after %d s, want 6 or 7: the previous leader may send commands for 5 s", got)
+	}
+}
+
+// TestMachineOfRunnerRecorded guards against a later term that does not know the
+// machine of a runner whose entry has been removed.
+func TestMachineOfRunnerRecorded(t *testing.T) {
+	f := newFixture(t, 200)
+	f.runner("a")
+	next := newFixture(t, 300)
+	next.s.InheritRoster(f.s.Roster(f.now, false))
+	for _, e := range next.s.Roster(next.now, false) {
+		if e.Machine != "m-a" {
+			t.Errorf("entry %+v, want machine m-a", e)
+		}
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -32,6 +32,10 @@
 	// entry does not allow the use of another one: a former leader, which cannot
 	// store the roster, must not use one that the present leader may not know.
 	Incarnation runner.Incarnation `cbor:"6,keyasint,omitempty"`
+	// Machine is the one that the runner runs on; empty if it is not known. The list
+	// of machines shows a later term that a runner without an entry in the store has
+	// ended.
+	Machine string `cbor:"7,keyasint,omitempty"`
 }
 
 // unreportedMark is the roster entry which records that a lease expired and its
@@ -59,6 +63,7 @@
 	reached     bool // the runner had replied to the previous leader, which may have extended its lease
 	addr        netip.AddrPort
 	incarnation runner.Incarnation
+	machine     string
 	until       clock.BootTime // no run of a previous term outlasts this time
 	tasks       []job.Task
 }
@@ -80,7 +85,7 @@
 			s.expiredUnreached = true
 			continue
 		}
-		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
 		in.reached = !e.Closed && e.Remaining == 0
 		if !in.reached {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
@@ -101,7 +106,7 @@
 		}
 		rs := s.runners[e.ID]
 		if rs == nil {
-			rs = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr, Incarnation: e.Incarnation})
+			rs = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr, Incarnation: e.Incarnation, Machine: e.Machine})
 			s.runners[e.ID] = rs
 			s.addToPool(rs)
 		}
@@ -148,7 +153,7 @@
 
 // equal reports whether two entries of a runner are the same.
 func (e RosterEntry) equal(o RosterEntry) bool {
-	return e.Incarnation == o.Incarnation && e.Closed == o.Closed && e.Remaining == o.Remaining && e.Addr == o.Addr && slices.Equal(e.Tasks, o.Tasks)
+	return e.Incarnation == o.Incarnation && e.Machine == o.Machine && e.Closed == o.Closed && e.Remaining == o.Remaining && e.Addr == o.Addr && slices.Equal(e.Tasks, o.Tasks)
 }
 
 // RosterChanged reports whether the roster that must be stored now differs from
@@ -223,7 +228,7 @@
 
 // entry returns the roster entry of a runner that has not replied in this term.
 func (in *inherited) entry(id runner.ID, now clock.BootTime) RosterEntry {
-	e := RosterEntry{ID: id, Closed: in.closed, Remaining: max(roundRemaining(in.until.Sub(now)), remainingStep), Addr: in.addr, Incarnation: in.incarnation}
+	e := RosterEntry{ID: id, Closed: in.closed, Remaining: max(roundRemaining(in.until.Sub(now)), remainingStep), Addr: in.addr, Incarnation: in.incarnation, Machine: in.machine}
 	if in.closed {
 		for _, t := range in.tasks {
 			e.Tasks = append(e.Tasks, t.String())
@@ -240,7 +245,7 @@
 		return RosterEntry{}, false
 	}
 	if !rs.unreachable && !closing {
-		return RosterEntry{ID: rs.ID, Addr: rs.confirmedAddr, Incarnation: rs.Incarnation}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
+		return RosterEntry{ID: rs.ID, Addr: rs.confirmedAddr, Incarnation: rs.Incarnation, Machine: rs.Machine}, rs.registered || len(rs.runs) > 0 || rs.hasUnacked()
 	}
 	if len(rs.runs) == 0 && !rs.hasUnacked() {
 		return RosterEntry{}, false
@@ -249,7 +254,7 @@
 	if closing {
 		remaining = s.Limits.MaxRunnerLease
 	}
-	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.confirmedAddr, Incarnation: rs.Incarnation}
+	e := RosterEntry{ID: rs.ID, Closed: true, Remaining: roundRemaining(remaining), Addr: rs.confirmedAddr, Incarnation: rs.Incarnation, Machine: rs.Machine}
 	for _, x := range runsOf(rs) {
 		e.Tasks = append(e.Tasks, x.task.name.String())
 	}
