sched: hold runners for suspects that wait for room, too

A suspect was not counted among the tasks for which runners are held. One that needs much of a machine found none to be isolated for as long as there were batch tasks to start, which used each capacity that became free.

Suspects are now counted as other long-running tasks are.

TestLargeSuspectBehindBatch: a suspect of 3 of 4 cores had no run after 9 s, in which 75 batch tasks were due to end; now it is started.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -74,7 +74,7 @@
 	}
 	n := 0
 	for _, t := range st.tasks {
-		if !t.crashes.Suspect && s.startable(t, now) {
+		if s.startable(t, now) {
 			n++
 		}
 	}
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -247,3 +247,38 @@
 	}
 	t.Errorf("long-running task not started in %v, while %d batch tasks ended", lostBound, lostPasses/4)
 }
+
+// whether the tasks of a job are started.
+func (f *fixture) behindBatch(lasting job.ID, ids ...runner.ID) bool {
+	for i := range lostPasses {
+		on := ids[i%len(ids)]
+		if runs := f.running(f.s.runners[on]); len(runs) > 0 && i%4 == 0 {
+			for k, r := range runs {
+				if r.Task.Job != lasting {
+					f.end(on, r.Task, r.Attempt, runner.Done)
+					runs = append(runs[:k:k], runs[k+1:]...)
+					break
+				}
+			}
+			f.report(on, runs...)
+		}
+		f.settle(1)
+		if f.waitingTasks(lasting) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// and never finds it, because runners are held for other tasks only.
+func TestLargeSuspectBehindBatch(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c")
+	f.job(1, job.Step{Count: 10000})
+	f.settle(3)
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	f.suspect(job.Task{Job: lasting})
+	if !f.behindBatch(lasting, "a", "b", "c") {
+		t.Errorf("suspect not started in %v, while batch tasks ended", lostBound)
+	}
+}
