sched: a runner in quarantine is no room for long-running tasks

No runner was held, and no machine asked for, while a runner with room was in quarantine. One that fails all runs is in quarantine for most of the time.

--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -282,3 +282,18 @@
 		t.Errorf("suspect not started in %v, while batch tasks ended", lostBound)
 	}
 }
+
+// because one in quarantine has room.
+func TestQuarantinedRunnerHidesNeed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c")
+	f.job(1, job.Step{Count: 10000})
+	f.settle(3)
+	f.runner("d")
+	d := f.s.runners["d"]
+	d.health.probing, d.health.quarantinedUntil = true, f.now.Add(time.Minute)
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	if !f.behindBatch(lasting, "a", "b", "c") {
+		t.Errorf("task not started in %v, while batch tasks ended", lostBound)
+	}
+}
