sched: hold a runner for no more tasks than fit beside each other

Each step was held a runner for apart, by the cores only: the tasks of up to four jobs were held the same room, and then waited for each other, as long as batch tasks take to end for each.

The room that a runner is held for is now subtracted, with all resources.

TestHeldOncePerTask, four jobs with a task of 3 of 4 cores each: 1 runner was held, 4 are now.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -100,16 +100,22 @@
 		}
 	}
 	slices.SortFunc(steps, func(a, b *step) int { return compareTasks(a.tasks[0].name, b.tasks[0].name) })
-	taken := make(map[*runnerState]int) // tasks that a runner is held for
+	taken := make(map[*runnerState]heldRoom)
 	for _, st := range steps {
 		s.hold(st, s.unplaced[st], taken, now)
 	}
 }
 
+// heldRoom is what a runner is held for in one pass.
+type heldRoom struct {
+	tasks int
+	room  job.Resources
+}
+
 // hold holds runners for n tasks of a step.
-func (s *State) hold(st *step, n int, taken map[*runnerState]int, now clock.BootTime) {
+func (s *State) hold(st *step, n int, taken map[*runnerState]heldRoom, now clock.BootTime) {
 	runners := slices.DeleteFunc(slices.Clone(s.byPool[s.service(st.occ.job)]), func(rs *runnerState) bool {
-		return taken[rs] >= tasksPerHeldRunner || !s.couldTake(rs, st, now) || !st.spec.Demand().Fits(rs.freeOfBatch())
+		return taken[rs].tasks >= tasksPerHeldRunner || !s.couldTake(rs, st, now) || !st.spec.Demand().Fits(rs.freeOfBatch().Sub(taken[rs].room))
 	})
 	slices.SortStableFunc(runners, func(a, b *runnerState) int {
 		return cmp.Or(
@@ -121,13 +127,15 @@
 		if n <= 0 {
 			return
 		}
-		fit := min(tasksPerHeldRunner-taken[rs], rs.freeOfBatch().CPU/max(st.spec.Demand().CPU, 1))
+		held := taken[rs]
+		limit := tasksPerHeldRunner
 		if st.spec.PerRunner > 0 {
-			fit = min(fit, st.spec.PerRunner-runsOfStep(rs, st.tasks[0]))
+			limit = held.tasks + st.spec.PerRunner - runsOfStep(rs, st.tasks[0])
+		}
+		for limit = min(limit, tasksPerHeldRunner); n > 0 && held.tasks < limit && st.spec.Demand().Fits(rs.freeOfBatch().Sub(held.room)); n-- {
+			held.tasks, held.room = held.tasks+1, held.room.Add(st.spec.Demand())
 		}
-		rs.heldUntil = now.Add(holdTime)
-		taken[rs] += fit
-		n -= fit
+		rs.heldUntil, taken[rs] = now.Add(holdTime), held
 	}
 }
 
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -297,3 +297,24 @@
 		t.Errorf("task not started in %v, while batch tasks ended", lostBound)
 	}
 }
+
+// fit beside each other, which then wait for each other.
+func TestHeldOncePerTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d")
+	f.job(1, job.Step{Count: 16})
+	f.settle(3)
+	for n := range 4 {
+		f.job(2+n, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	}
+	f.settle(1)
+	held := 0
+	for _, rs := range f.s.runners {
+		if rs.heldUntil.After(f.now) {
+			held++
+		}
+	}
+	if held != 4 {
+		t.Errorf("%d runners held, want 4", held)
+	}
+}
