sched: count a runner that misses polls once when a pool is calm

TestFlappingRunner, 8 runners, one misses a poll each 0.6 s: a task under which one runner has crashed for certain had no run after 9 s; now it is started.

--- a/internal/sched/stability.go
+++ b/internal/sched/stability.go
@@ -22,6 +22,10 @@
 	if rs.Draining || rs.cordoned || rs.isolated != nil || !rs.replied || rs.unreachable {
 		return
 	}
+	if rs.lostAt != 0 && now.Sub(rs.lostAt) < calmAfter {
+		return // a runner that misses polls again and again is one
+	}
+	rs.lostAt = now
 	s.losses[rs.Service] = append(s.losses[rs.Service], now)
 	s.updateRestless(rs.Service, now)
 }
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -203,3 +204,28 @@
 		t.Errorf("runs %d, calm %t, want a run while the pool is not calm, record %+v", len(x.runs), b.s.isCalm("pool", b.now), x.crashes)
 	}
 }
+
+// of the pool misses polls again and again.
+func TestFlappingRunner(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h")
+	f.settle(100)
+	for range 2 {
+		f.s.PollFailed("a", f.now)
+		f.settle(5)
+		f.report("a")
+	}
+	lasting := f.job(1, job.Step{LongRunning: true})
+	f.s.setCrashes(f.s.jobs[lasting].task(job.Task{Job: lasting}), crash.Record{Crashes: 1, Unresolved: 1, Suspect: true})
+	for i := range lostPasses {
+		if i%20 == 0 { // each 0.6 s
+			f.s.PollFailed("a", f.now)
+		}
+		f.settle(1)
+		f.report("a", f.running(f.s.runners["a"])...)
+		if f.waitingTasks(lasting) == 0 {
+			return
+		}
+	}
+	t.Errorf("task not started in %v, restless %t", lostBound, f.s.restless["pool"])
+}
