sched: end no long-running job for starts of which nothing is known

A new leader takes all crashes under a task for immediate ones. One counted start that its predecessor did not resolve then exhausted a task with two crashes, and the whole job ended as failed if none of its tasks was at work at that instant, as when all wait for the pool to be calm after a burst.

Its job still ends when a crash follows a start for certain.

TestJobEndsWhileAllWait, 4 tasks with two crashes each, one start of the first unresolved: the job failed before, and goes on now.

--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -37,7 +37,7 @@
 	}
 	if t.reserved != attempt {
 		if t.crashes.Suspect {
-			if t.crashes.Exhausted() && s.giveUp(t, nil, now) {
+			if t.crashes.Exhausted() && !t.step.spec.LongRunning && s.giveUp(t, nil, now) {
 				return false
 			}
 			t.crashes.Unresolved++
--- a/internal/sched/suspect_test.go
+++ b/internal/sched/suspect_test.go
@@ -393,3 +393,22 @@
 	}
 	t.Error("the suspect is not started again")
 }
+
+// its tasks runs just when one of them has no start left.
+func TestJobEndsWhileAllWait(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h")
+	id := f.job(1, job.Step{Count: 4, LongRunning: true, PerRunner: 1})
+	for i := range 4 {
+		x := f.s.jobs[id].task(job.Task{Job: id, Index: i})
+		c := crash.Record{Crashes: 2, Immediate: 2, Suspect: true} // as a new leader loads it
+		if i == 0 {
+			c.Unresolved = 1 // counted by a leader that ended
+		}
+		f.s.setCrashes(x, c)
+	}
+	f.settle(300)
+	if got := f.outcome(id); got != job.Open {
+		t.Errorf("outcome %v, want open", got)
+	}
+}
