--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -318,3 +318,24 @@
 		t.Errorf("%d runners held, want 4", held)
 	}
 }
+
+// is blocked for a moment, and taken by batch tasks.
+func TestBriefBlockReleasesRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	b := f.s.runners["b"]
+	if len(b.keptFor) == 0 {
+		t.Fatal("no room kept")
+	}
+	b.blockedUntil = f.now.Add(rejectedDelay)
+	f.job(10, job.Step{Count: 100})
+	f.settle(8)
+	if n := len(b.runs); n > 0 {
+		t.Errorf("%d batch runs on the runner that the long-running task is to move to", n)
+	}
+}
