sched: a wave takes machines with kept room later

The machine on which room is kept for a stopped long-running task is often idle, so that a wave took it first: the task then had no room.

TestWaveTakesKeptRoom: it was drained before an idle machine of the same wave, and is not now.

--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -339,3 +339,20 @@
 		t.Errorf("%d batch runs on the runner that the long-running task is to move to", n)
 	}
 }
+
+// kept for a stopped task, with another one that is as cheap.
+func TestWaveTakesKeptRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.runner("c", "d", "e", "f", "g", "h")
+	f.s.SetWave(machine.Wave{Number: 2, Machines: []machine.ID{"m-b", "m-c"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	f.plan()
+	if f.s.runners["b"].cordoned {
+		t.Error("the machine with the kept room leaves first")
+	}
+}
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -282,6 +282,7 @@
 					cost[0]++
 				}
 			}
+			cost[0] += len(rs.keptFor)
 			cost[1] = rs.used.CPU
 			cost[0] = cost[0] * 4000 // restarting a long-running task elsewhere costs as much as 4 cores in use
 			cost[0] += cost[1]
