sched: isolate no runner on which room is kept

A runner with room for a stopped long-running task has few runs, so that it was isolated first; the task could not be started there until that ended.

TestSuspectTakesKeptRoom: it was isolated beside two idle runners, and is not now.

--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -356,3 +356,20 @@
 		t.Error("the machine with the kept room leaves first")
 	}
 }
+
+// that is isolated for a suspect, with another runner free.
+func TestSuspectTakesKeptRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, job.Resources{CPU: 4000, Mem: 8000}, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.runner("c", "d")
+	f.suspect(job.Task{Job: f.job(2, job1)})
+	f.plan()
+	if b := f.s.runners["b"]; len(b.keptFor) == 0 || b.isolated != nil {
+		t.Errorf("room kept for %d tasks, isolated %t", len(b.keptFor), b.isolated != nil)
+	}
+}
--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -227,7 +227,7 @@
 		}
 		var best *runnerState
 		for _, rs := range runners {
-			if rs.isolated != nil || !s.eligible(rs, t, now) {
+			if rs.isolated != nil || len(rs.keptFor) > 0 || !s.eligible(rs, t, now) {
 				continue
 			}
 			if best == nil || cmp.Or(cmp.Compare(rs.longRunning, best.longRunning), compareBool(best.heardLately(now), rs.heardLately(now)), cmp.Compare(len(rs.runs), len(best.runs))) < 0 {
