sched: request permits first for runners that were not denied

A query names the 30 runners with the most free cores. Those that the policy denies stay free, so that once there are 30 of them no other runner was asked about, and tasks waited without end.

Runners that a query did not allow are now named last, the earliest denied first.

--- a/internal/sched/permit.go
+++ b/internal/sched/permit.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,7 +32,8 @@
 type permits struct {
 	byRunner  map[runner.ID]permit
 	pending   bool
-	notBefore clock.BootTime // no query before this time
+	notBefore clock.BootTime               // no query before this time
+	denied    map[runner.ID]clock.BootTime // when a query last did not allow a runner
 }
 
 // PolicyQuery asks the policy service which runners may run a step.
@@ -83,7 +85,9 @@
 	if len(ids) == 0 {
 		return
 	}
-	slices.SortFunc(ids, func(a, b runner.ID) int { return s.runners[b].free().CPU - s.runners[a].free().CPU })
+	slices.SortFunc(ids, func(a, b runner.ID) int {
+		return cmp.Or(cmp.Compare(st.permits.denied[a], st.permits.denied[b]), s.runners[b].free().CPU-s.runners[a].free().CPU)
+	})
 	ids = ids[:min(len(ids), permitRunners)]
 	name := st.tasks[0].name.StepName()
 	st.permits.pending = true
@@ -104,9 +108,13 @@
 	p := &q.step.permits
 	p.pending = false
 	if p.byRunner == nil {
-		p.byRunner = make(map[runner.ID]permit)
+		p.byRunner, p.denied = make(map[runner.ID]permit), make(map[runner.ID]clock.BootTime)
+	}
+	for _, id := range q.Runners {
+		p.denied[id] = now
 	}
 	for _, a := range allowed {
+		delete(p.denied, a.Runner)
 		if rs := s.runners[a.Runner]; rs != nil {
 			p.byRunner[a.Runner] = permit{ticket: a.Ticket, incarnation: rs.Incarnation, until: sent.Add(valid)}
 		}
--- a/internal/sched/permit_test.go
+++ b/internal/sched/permit_test.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"fmt"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 	"testing"
 	"time"
 
@@ -53,3 +55,32 @@
 		})
 	}
 }
+
+// permits are requested again and again for the runners that were denied.
+func TestDeniedRunnersAskedAgain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second, Policy: &job.Policy{}}},
+		[]*job.Service{{Name: "pool", EnforcesCapacity: true}}, job.Limits{}))
+	allowed := make(map[runner.ID]bool)
+	for i := range 3 * permitRunners {
+		id := runner.ID(fmt.Sprintf("r%03d", i))
+		f.runner(id)
+		allowed[id] = i%2 == 0
+	}
+	lasting := f.job(1, job.Step{LongRunning: true, Count: len(allowed) / 2, PerRunner: 1})
+	for range lostPasses {
+		f.settle(1)
+		for _, q := range f.s.PolicyQueries() {
+			var as []AllowedRunner
+			for _, id := range q.Runners {
+				if allowed[id] {
+					as = append(as, AllowedRunner{Runner: id, Ticket: "t"})
+				}
+			}
+			f.s.HandlePolicyReply(&q, as, time.Minute, f.now, f.now)
+		}
+	}
+	if n := f.waitingTasks(lasting); n > 0 {
+		t.Errorf("%d long-running tasks wait after %v, with as many free runners that would be allowed", n, lostBound)
+	}
+}
