sched: judge a crash by whether its pool was calm when it happened

A crash may be known only seconds after it, when the losses of the burst that it was part of no longer count. The pool then counted as calm, and a long-running job ended after two crashes although the second came with those of half the pool.

The pool must now have been calm since the last reply of the runner.

TestBurstKnownLate, 24 runners, half of them lost at once and replaced after 3 s: the job of a suspect among them failed before, and goes on now.

--- a/internal/sched/stability.go
+++ b/internal/sched/stability.go
@@ -52,6 +52,15 @@
 		}
 	}
 	s.restless[pool] = len(l) > max(1, present/lossDivisor)
+	if s.restless[pool] {
+		s.restlessAt[pool] = now
+	}
+}
+
+// wasCalm reports whether a pool has lost few runners since a time, so that a crash
+// since then tells something of the tasks on the runner. It may be known only later.
+func (s *State) wasCalm(pool string, since, now clock.BootTime) bool {
+	return s.isCalm(pool, now) && !s.restlessAt[pool].After(since)
 }
 
 // isCalm reports whether a pool has lost few runners lately, so that a crash after
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -229,3 +229,32 @@
 	}
 	t.Errorf("task not started in %v, restless %t", lostBound, f.s.restless["pool"])
 }
+
+// TestBurstKnownLate guards against a long-running job that ends because its suspect
+// crashed with many other runners, if that is known only once no more are lost.
+func TestBurstKnownLate(t *testing.T) {
+	b := newBurst(newFixture(t, 1), 24)
+	b.run(4*time.Second, harmless)
+	id := b.job(1, job.Step{LongRunning: true})
+	x := b.s.jobs[id].task(job.Task{Job: id})
+	b.s.setCrashes(x, crash.Record{Crashes: 1, Immediate: 1, Suspect: true})
+	for range 20 {
+		b.step(harmless)
+		if x.live() {
+			break
+		}
+	}
+	if !x.live() {
+		t.Fatal("suspect not started")
+	}
+	for i, other := range b.up() {
+		if i%2 == 0 || other == x.runs[0].runner.ID {
+			b.crash(other)
+			b.down[other] = b.now.Add(3 * time.Second)
+		}
+	}
+	b.run(4*time.Second, harmless)
+	if got := b.outcome(id); got != job.Open {
+		t.Errorf("outcome %v, record %+v, want open", got, x.crashes)
+	}
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -121,7 +121,7 @@
 	if !js.open() {
 		return true
 	}
-	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.isCalm(s.service(js), now))) {
+	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.wasCalm(s.service(js), on.lastReply, now))) {
 		if t.isGivenUp() {
 			s.Logger.Log("msg", "task given up, its job goes on", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
 		}
