sched: order the runners to be held once a pass

For each step with long-running tasks that fit nowhere, all runners of the pool were copied, checked and sorted, and what their batch tasks use was added up, so that a full pass grew with the number of steps times that of runners.

This is now done once for each pool and pass.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -68,7 +68,7 @@
 // for one.
 func (s *State) waitingForRoom(pool string, st *step, now clock.BootTime) int {
 	if slices.ContainsFunc(s.byPool[pool], func(rs *runnerState) bool {
-		return s.couldTake(rs, st, now) && st.spec.Demand().Fits(rs.free())
+		return st.spec.Demand().Fits(rs.free()) && s.couldTake(rs, st, now)
 	}) {
 		return 0
 	}
@@ -100,42 +100,57 @@
 		}
 	}
 	slices.SortFunc(steps, func(a, b *step) int { return compareTasks(a.tasks[0].name, b.tasks[0].name) })
-	taken := make(map[*runnerState]heldRoom)
+	byPool := make(map[string][]*heldRunner)
 	for _, st := range steps {
-		s.hold(st, s.unplaced[st], taken, now)
+		pool := s.service(st.occ.job)
+		if byPool[pool] == nil {
+			byPool[pool] = s.heldRunners(pool, now)
+		}
+		s.hold(byPool[pool], st, s.unplaced[st], now)
 	}
 }
 
-// heldRoom is what a runner is held for in one pass.
-type heldRoom struct {
-	tasks int
-	room  job.Resources
+// heldRunner is a runner that may be held, with what is left of it in this pass.
+type heldRunner struct {
+	*runnerState
+	tasks int           // that it is held for
+	left  job.Resources // without batch tasks and these
 }
 
-// hold holds runners for n tasks of a step.
-func (s *State) hold(st *step, n int, taken map[*runnerState]heldRoom, now clock.BootTime) {
-	runners := slices.DeleteFunc(slices.Clone(s.byPool[s.service(st.occ.job)]), func(rs *runnerState) bool {
-		return taken[rs].tasks >= tasksPerHeldRunner || !s.couldTake(rs, st, now) || !st.spec.Demand().Fits(rs.freeOfBatch().Sub(taken[rs].room))
-	})
-	slices.SortStableFunc(runners, func(a, b *runnerState) int {
+// heldRunners returns the runners of a pool in the order in which they are held.
+func (s *State) heldRunners(pool string, now clock.BootTime) []*heldRunner {
+	var runners []*heldRunner
+	for _, rs := range s.byPool[pool] {
+		if s.usable(rs, now) {
+			runners = append(runners, &heldRunner{runnerState: rs, left: rs.freeOfBatch()})
+		}
+	}
+	slices.SortStableFunc(runners, func(a, b *heldRunner) int {
 		return cmp.Or(
 			-compareBool(a.heldUntil.After(now), b.heldUntil.After(now)),
 			cmp.Compare(b.free().CPU, a.free().CPU),
 		)
 	})
-	for _, rs := range runners {
+	return runners
+}
+
+// hold holds runners for n tasks of a step.
+func (s *State) hold(runners []*heldRunner, st *step, n int, now clock.BootTime) {
+	for _, h := range runners {
 		if n <= 0 {
 			return
 		}
-		held := taken[rs]
+		if h.tasks >= tasksPerHeldRunner || !st.spec.Demand().Fits(h.left) || !s.couldTake(h.runnerState, st, now) {
+			continue
+		}
 		limit := tasksPerHeldRunner
 		if st.spec.PerRunner > 0 {
-			limit = held.tasks + st.spec.PerRunner - runsOfStep(rs, st.tasks[0])
+			limit = h.tasks + st.spec.PerRunner - runsOfStep(h.runnerState, st.tasks[0])
 		}
-		for limit = min(limit, tasksPerHeldRunner); n > 0 && held.tasks < limit && st.spec.Demand().Fits(rs.freeOfBatch().Sub(held.room)); n-- {
-			held.tasks, held.room = held.tasks+1, held.room.Add(st.spec.Demand())
+		for limit = min(limit, tasksPerHeldRunner); n > 0 && h.tasks < limit && st.spec.Demand().Fits(h.left); n-- {
+			h.tasks, h.left = h.tasks+1, h.left.Sub(st.spec.Demand())
 		}
-		rs.heldUntil, taken[rs] = now.Add(holdTime), held
+		h.heldUntil = now.Add(holdTime)
 	}
 }
 
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -91,6 +91,34 @@
 	})
 }
 
+// BenchmarkPlanWaiting measures full passes while long-running tasks of many jobs fit
+// nowhere.
+func BenchmarkPlanWaiting(b *testing.B) {
+	for _, n := range []int{1100, 3000} {
+		for _, jobs := range []int{0, 20, 100} {
+			b.Run(fmt.Sprint(n, "/", jobs), func(b *testing.B) {
+				s, now := newScaleState(b, n, n)
+				s.Plan(now, time.Unix(0, 0))
+				s.Commands()
+				for p := range pools {
+					for k := range jobs {
+						j := &job.Job{ID: job.ID(fmt.Sprintf("f%07x%08x", p, k)), Queue: fmt.Sprint("p", p), Service: fmt.Sprint("p", p), Accepted: time.Unix(0, 0), Steps: []job.Step{
+							{Count: 8, LongRunning: true, PerRunner: 1, Resources: job.Resources{CPU: 12000, Mem: 2300}},
+						}}
+						s.AddJob(j, 100, nil, 0, now, time.Unix(0, 0))
+					}
+				}
+				for b.Loop() {
+					now = now.Add(time.Second)
+					s.InputCurrent(0, now)
+					s.Plan(now, time.Unix(0, 0))
+					s.Commands()
+				}
+			})
+		}
+	}
+}
+
 func benchmarkPlan(b *testing.B, f func(b *testing.B, n int)) {
 	for _, n := range []int{130, 1100, 3000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) { f(b, n) })
