sched: do not count a pool's runners for each loss while it is not calm

Each loss counted the runners of its pool and all losses before, under the lock of the term. While a pool is not calm, a further loss changes nothing.

--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// BenchmarkLoseAll measures the loss of all runners at once.
+func BenchmarkLoseAll(b *testing.B) {
+	for _, n := range []int{1100, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				s, now := newScaleState(b, n, 1)
+				b.StartTimer()
+				for id := range s.runners {
+					s.PollFailed(id, now)
+				}
+			}
+		})
+	}
+}
+
 func benchmarkPlan(b *testing.B, f func(b *testing.B, n int)) {
 	for _, n := range []int{130, 1100, 3000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) { f(b, n) })
--- a/internal/sched/stability.go
+++ b/internal/sched/stability.go
@@ -27,7 +27,9 @@
 	}
 	rs.lostAt = now
 	s.losses[rs.Service] = append(s.losses[rs.Service], now)
-	s.updateRestless(rs.Service, now)
+	if !s.restless[rs.Service] {
+		s.updateRestless(rs.Service, now)
+	}
 }
 
 // forgetLosses drops the losses that no longer count.
