--- a/internal/sched/permit_test.go
+++ b/internal/sched/permit_test.go
@@ -84,3 +84,44 @@
 		t.Errorf("%d long-running tasks wait after %v, with as many free runners that would be allowed", n, lostBound)
 	}
 }
+
+// TestDeniedRunnerHidesNeed guards against a task for which no runner is held, because
+// one that the policy denies has room.
+func TestDeniedRunnerHidesNeed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second, Policy: &job.Policy{}}},
+		[]*job.Service{{Name: "pool", EnforcesCapacity: true}}, job.Limits{}))
+	allow := func() {
+		for _, q := range f.s.PolicyQueries() {
+			var as []AllowedRunner
+			for _, id := range q.Runners {
+				if id != "d" {
+					as = append(as, AllowedRunner{Runner: id, Ticket: "t"})
+				}
+			}
+			f.s.HandlePolicyReply(&q, as, time.Minute, f.now, f.now)
+		}
+	}
+	f.runner("a", "b", "c")
+	f.job(1, job.Step{Count: 10000})
+	for range 5 {
+		f.settle(1)
+		allow()
+	}
+	f.runner("d")
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	ids := []runner.ID{"a", "b", "c"}
+	for i := range lostPasses {
+		on := ids[i%len(ids)]
+		if runs := f.running(f.s.runners[on]); len(runs) > 0 && i%4 == 0 {
+			f.end(on, runs[0].Task, runs[0].Attempt, runner.Done)
+			f.report(on, runs[1:]...)
+		}
+		f.settle(1)
+		allow()
+		if f.waitingTasks(lasting) == 0 {
+			return
+		}
+	}
+	t.Errorf("task not started in %v, while batch tasks ended", lostBound)
+}
