sched: count the loss of an isolated runner without a suspect's run

Up to half of a pool is isolated. None of these runners counted as lost, also before the start of a suspect, so that a pool which lost half of its runners could count as calm.

TestLostIsolatedRunnersCalm: calm after the loss of 5 of 10 runners, 4 of them isolated, before; not calm now.

--- a/internal/sched/stability.go
+++ b/internal/sched/stability.go
@@ -19,7 +19,7 @@
 // recordLoss records that a runner crashed or fell silent, unless it does so on
 // order, or a suspect that it is isolated for may have caused it.
 func (s *State) recordLoss(rs *runnerState, now clock.BootTime) {
-	if rs.Draining || rs.cordoned || rs.isolated != nil || !rs.replied || rs.unreachable {
+	if rs.Draining || rs.cordoned || rs.isolated != nil && rs.hasStarted() || !rs.replied || rs.unreachable {
 		return
 	}
 	if rs.lostAt != 0 && now.Sub(rs.lostAt) < calmAfter {
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -258,3 +258,21 @@
 		t.Errorf("outcome %v, record %+v, want open", got, x.crashes)
 	}
 }
+
+// TestLostIsolatedRunnersCalm guards against a pool that counts as calm because the
+// runners that it loses are isolated, though no suspect was started there.
+func TestLostIsolatedRunnersCalm(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+	f.settle(100)
+	js := f.s.jobs[f.job(1, job.Step{LongRunning: true, Count: 5, PerRunner: 1})]
+	for _, id := range []runner.ID{"a", "b", "c", "d", "e"} {
+		f.s.runners[id].isolated = js
+	}
+	for _, id := range []runner.ID{"a", "b", "c", "d", "f"} {
+		f.s.PollFailed(id, f.now)
+	}
+	if f.s.isCalm("pool", f.now) {
+		t.Error("calm after the loss of 5 of 10 runners, 4 of them isolated")
+	}
+}
