sched: release room that is kept for a task of another pool

If the queue of a stopped long-running task moved to another pool, its room in the first one was kept until the task ran again.

TestRoomKeptAfterPoolChange: kept after 9 s without room in the other pool, not now.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -190,7 +190,7 @@
 	for _, rs := range s.runners {
 		for t := range rs.keptFor {
 			runs := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != stopping })
-			if runs || !t.job.open() || t.crashes.Suspect || !s.usable(rs, max(now, rs.blockedUntil)) {
+			if runs || !t.job.open() || s.service(t.job) != rs.Service || t.crashes.Suspect || !s.usable(rs, max(now, rs.blockedUntil)) {
 				t.releaseRoom()
 			}
 		}
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -373,3 +373,21 @@
 		t.Errorf("room kept for %d tasks, isolated %t", len(b.keptFor), b.isolated != nil)
 	}
 }
+
+// TestRoomKeptAfterPoolChange guards against room that is kept in a pool without end
+// for a task whose queue moved to another one.
+func TestRoomKeptAfterPoolChange(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+		[]*job.Service{{Name: "pool", EnforcesCapacity: true}, {Name: "other", EnforcesCapacity: true}}, job.Limits{}))
+	f.settle(300)
+	if n := len(f.s.runners["b"].keptFor); n > 0 {
+		t.Errorf("room still kept for %d tasks of another pool", n)
+	}
+}
