sched: a machine that is up without a runner in the list ends none

A runner of a previous term counted as ended if the list of machines did not name it, also if the list named no runner for its machine although that is up.

TestListWithoutIDs: started after 6 s before, and not within 8 s now.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -165,8 +165,12 @@
 		return
 	}
 	listed := make(map[runner.ID]bool, len(machines))
+	unnamed := make(map[machine.ID]bool) // machines that are up without a runner
 	for i := range machines {
 		listed[machines[i].Runner] = true
+		if machines[i].State == machine.Up && machines[i].Runner == "" {
+			unnamed[machines[i].ID] = true
+		}
 	}
 	for id, in := range s.inherited {
 		rs := s.runners[id]
@@ -174,7 +178,7 @@
 			continue
 		}
 		again := rs.unlisted
-		rs.unlisted = !listed[id]
+		rs.unlisted = !listed[id] && !unnamed[machine.ID(rs.Machine)]
 		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, s.lastCommand(in))) {
 			continue
 		}
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -453,3 +453,16 @@
 		})
 	}
 }
+
+// TestListWithoutIDs guards against a runner that counts as ended because the list of
+// machines names none yet for its machine, which is up.
+func TestListWithoutIDs(t *testing.T) {
+	f, _ := lostRunner(t)
+	got := f.startAfter(8, func(int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		return []machine.Machine{{ID: "m-a", State: machine.Up}, {ID: "m-b", Runner: "b"}}
+	})
+	if got > 0 {
+		t.Errorf("started after %d s, though m-a is listed as up without a runner", got)
+	}
+}
