--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -72,3 +72,13 @@
 		})
 	}
 }
+
+// TestLaterCrashForgetsUnknownStart guards against an unknown start that is no longer
+// counted once another one went on and crashed its runner later.
+func TestLaterCrashForgetsUnknownStart(t *testing.T) {
+	r := Record{Crashes: 1, Suspect: true, Unresolved: 2} // of a start without a known end, and of the next one
+	v := Charge([]Run{{Record: r.WentOn(), Job: "j", ConfirmedAt: before(time.Second)}}, heard)
+	if got := v[0].Possible(); got != 3 {
+		t.Errorf("possible crashes %d, want 3", got)
+	}
+}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -68,13 +68,13 @@
 // for one.
 func (s *State) waitingForRoom(pool string, st *step, now clock.BootTime) int {
 	if slices.ContainsFunc(s.byPool[pool], func(rs *runnerState) bool {
-		return s.couldTake(rs, st, now) && st.spec.Demand().Fits(rs.free())
+		return st.spec.Demand().Fits(rs.free()) && s.couldTake(rs, st, now)
 	}) {
 		return 0
 	}
 	n := 0
 	for _, t := range st.tasks {
-		if !t.crashes.Suspect && s.startable(t, now) {
+		if s.startable(t, now) {
 			n++
 		}
 	}
@@ -83,7 +83,7 @@
 
 // couldTake reports whether a runner may be given a task of a step once it has room.
 func (s *State) couldTake(rs *runnerState, st *step, now clock.BootTime) bool {
-	return s.usable(rs, now) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
+	return s.usable(rs, now) && rs.health.allows(now, rs.probes()) && (st.permits.denied[rs.ID] == 0 || s.permitted(rs, st, now)) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
 }
 
 // holdRunners keeps batch tasks off some runners of the pools in which
@@ -100,34 +100,57 @@
 		}
 	}
 	slices.SortFunc(steps, func(a, b *step) int { return compareTasks(a.tasks[0].name, b.tasks[0].name) })
-	taken := make(map[*runnerState]int) // tasks that a runner is held for
+	byPool := make(map[string][]*heldRunner)
 	for _, st := range steps {
-		s.hold(st, s.unplaced[st], taken, now)
+		pool := s.service(st.occ.job)
+		if byPool[pool] == nil {
+			byPool[pool] = s.heldRunners(pool, now)
+		}
+		s.hold(byPool[pool], st, s.unplaced[st], now)
 	}
 }
 
-// hold holds runners for n tasks of a step.
-func (s *State) hold(st *step, n int, taken map[*runnerState]int, now clock.BootTime) {
-	runners := slices.DeleteFunc(slices.Clone(s.byPool[s.service(st.occ.job)]), func(rs *runnerState) bool {
-		return taken[rs] >= tasksPerHeldRunner || !s.couldTake(rs, st, now) || !st.spec.Demand().Fits(rs.freeOfBatch())
-	})
-	slices.SortStableFunc(runners, func(a, b *runnerState) int {
+// heldRunner is a runner that may be held, with what is left of it in this pass.
+type heldRunner struct {
+	*runnerState
+	tasks int           // that it is held for
+	left  job.Resources // without batch tasks and these
+}
+
+// heldRunners returns the runners of a pool in the order in which they are held.
+func (s *State) heldRunners(pool string, now clock.BootTime) []*heldRunner {
+	var runners []*heldRunner
+	for _, rs := range s.byPool[pool] {
+		if s.usable(rs, now) {
+			runners = append(runners, &heldRunner{runnerState: rs, left: rs.freeOfBatch()})
+		}
+	}
+	slices.SortStableFunc(runners, func(a, b *heldRunner) int {
 		return cmp.Or(
 			-compareBool(a.heldUntil.After(now), b.heldUntil.After(now)),
 			cmp.Compare(b.free().CPU, a.free().CPU),
 		)
 	})
-	for _, rs := range runners {
+	return runners
+}
+
+// hold holds runners for n tasks of a step.
+func (s *State) hold(runners []*heldRunner, st *step, n int, now clock.BootTime) {
+	for _, h := range runners {
 		if n <= 0 {
 			return
 		}
-		fit := min(tasksPerHeldRunner-taken[rs], rs.freeOfBatch().CPU/max(st.spec.Demand().CPU, 1))
+		if h.tasks >= tasksPerHeldRunner || !st.spec.Demand().Fits(h.left) || !s.couldTake(h.runnerState, st, now) {
+			continue
+		}
+		limit := tasksPerHeldRunner
 		if st.spec.PerRunner > 0 {
-			fit = min(fit, st.spec.PerRunner-runsOfStep(rs, st.tasks[0]))
+			limit = h.tasks + st.spec.PerRunner - runsOfStep(h.runnerState, st.tasks[0])
+		}
+		for limit = min(limit, tasksPerHeldRunner); n > 0 && h.tasks < limit && st.spec.Demand().Fits(h.left); n-- {
+			h.tasks, h.left = h.tasks+1, h.left.Sub(st.spec.Demand())
 		}
-		rs.heldUntil = now.Add(holdTime)
-		taken[rs] += fit
-		n -= fit
+		h.heldUntil = now.Add(holdTime)
 	}
 }
 
@@ -167,7 +190,7 @@
 	for _, rs := range s.runners {
 		for t := range rs.keptFor {
 			runs := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != stopping })
-			if runs || !t.job.open() || t.crashes.Suspect || !s.usable(rs, now) {
+			if runs || !t.job.open() || s.service(t.job) != rs.Service || t.crashes.Suspect || !s.usable(rs, max(now, rs.blockedUntil)) {
 				t.releaseRoom()
 			}
 		}
--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -247,3 +247,147 @@
 	}
 	t.Errorf("long-running task not started in %v, while %d batch tasks ended", lostBound, lostPasses/4)
 }
+
+// whether the tasks of a job are started.
+func (f *fixture) behindBatch(lasting job.ID, ids ...runner.ID) bool {
+	for i := range lostPasses {
+		on := ids[i%len(ids)]
+		if runs := f.running(f.s.runners[on]); len(runs) > 0 && i%4 == 0 {
+			for k, r := range runs {
+				if r.Task.Job != lasting {
+					f.end(on, r.Task, r.Attempt, runner.Done)
+					runs = append(runs[:k:k], runs[k+1:]...)
+					break
+				}
+			}
+			f.report(on, runs...)
+		}
+		f.settle(1)
+		if f.waitingTasks(lasting) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// and never finds it, because runners are held for other tasks only.
+func TestLargeSuspectBehindBatch(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c")
+	f.job(1, job.Step{Count: 10000})
+	f.settle(3)
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	f.suspect(job.Task{Job: lasting})
+	if !f.behindBatch(lasting, "a", "b", "c") {
+		t.Errorf("suspect not started in %v, while batch tasks ended", lostBound)
+	}
+}
+
+// because one in quarantine has room.
+func TestQuarantinedRunnerHidesNeed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c")
+	f.job(1, job.Step{Count: 10000})
+	f.settle(3)
+	f.runner("d")
+	d := f.s.runners["d"]
+	d.health.probing, d.health.quarantinedUntil = true, f.now.Add(time.Minute)
+	lasting := f.job(2, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	if !f.behindBatch(lasting, "a", "b", "c") {
+		t.Errorf("task not started in %v, while batch tasks ended", lostBound)
+	}
+}
+
+// fit beside each other, which then wait for each other.
+func TestHeldOncePerTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d")
+	f.job(1, job.Step{Count: 16})
+	f.settle(3)
+	for n := range 4 {
+		f.job(2+n, job.Step{LongRunning: true, Resources: job.Resources{CPU: 3000, Mem: 100}})
+	}
+	f.settle(1)
+	held := 0
+	for _, rs := range f.s.runners {
+		if rs.heldUntil.After(f.now) {
+			held++
+		}
+	}
+	if held != 4 {
+		t.Errorf("%d runners held, want 4", held)
+	}
+}
+
+// is blocked for a moment, and taken by batch tasks.
+func TestBriefBlockReleasesRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	b := f.s.runners["b"]
+	if len(b.keptFor) == 0 {
+		t.Fatal("no room kept")
+	}
+	b.blockedUntil = f.now.Add(rejectedDelay)
+	f.job(10, job.Step{Count: 100})
+	f.settle(8)
+	if n := len(b.runs); n > 0 {
+		t.Errorf("%d batch runs on the runner that the long-running task is to move to", n)
+	}
+}
+
+// kept for a stopped task, with another one that is as cheap.
+func TestWaveTakesKeptRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.runner("c", "d", "e", "f", "g", "h")
+	f.s.SetWave(machine.Wave{Number: 2, Machines: []machine.ID{"m-b", "m-c"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	f.plan()
+	if f.s.runners["b"].cordoned {
+		t.Error("the machine with the kept room leaves first")
+	}
+}
+
+// that is isolated for a suspect, with another runner free.
+func TestSuspectTakesKeptRoom(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, job.Resources{CPU: 4000, Mem: 8000}, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.runner("c", "d")
+	f.suspect(job.Task{Job: f.job(2, job1)})
+	f.plan()
+	if b := f.s.runners["b"]; len(b.keptFor) == 0 || b.isolated != nil {
+		t.Errorf("room kept for %d tasks, isolated %t", len(b.keptFor), b.isolated != nil)
+	}
+}
+
+// TestRoomKeptAfterPoolChange guards against room that is kept in a pool without end
+// for a task whose queue moved to another one.
+func TestRoomKeptAfterPoolChange(t *testing.T) {
+	demand := job.Resources{CPU: 2000, Mem: 100}
+	f := evacuation(t, 1, demand, demand)
+	for range 10 {
+		if len(ofKind(f.plan(), StopRun)) > 0 {
+			break
+		}
+	}
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+		[]*job.Service{{Name: "pool", EnforcesCapacity: true}, {Name: "other", EnforcesCapacity: true}}, job.Limits{}))
+	f.settle(300)
+	if n := len(f.s.runners["b"].keptFor); n > 0 {
+		t.Errorf("room still kept for %d tasks of another pool", n)
+	}
+}
--- a/internal/sched/stability.go
+++ b/internal/sched/stability.go
@@ -19,11 +19,17 @@
 // recordLoss records that a runner crashed or fell silent, unless it does so on
 // order, or a suspect that it is isolated for may have caused it.
 func (s *State) recordLoss(rs *runnerState, now clock.BootTime) {
-	if rs.Draining || rs.cordoned || rs.isolated != nil || !rs.replied || rs.unreachable {
+	if rs.Draining || rs.cordoned || rs.isolated != nil && rs.hasStarted() || !rs.replied || rs.unreachable {
 		return
 	}
+	if rs.lostAt != 0 && now.Sub(rs.lostAt) < calmAfter {
+		return // a runner that misses polls again and again is one
+	}
+	rs.lostAt = now
 	s.losses[rs.Service] = append(s.losses[rs.Service], now)
-	s.updateRestless(rs.Service, now)
+	if !s.restless[rs.Service] {
+		s.updateRestless(rs.Service, now)
+	}
 }
 
 // forgetLosses drops the losses that no longer count.
@@ -48,6 +54,15 @@
 		}
 	}
 	s.restless[pool] = len(l) > max(1, present/lossDivisor)
+	if s.restless[pool] {
+		s.restlessAt[pool] = now
+	}
+}
+
+// wasCalm reports whether a pool has lost few runners since a time, so that a crash
+// since then tells something of the tasks on the runner. It may be known only later.
+func (s *State) wasCalm(pool string, since, now clock.BootTime) bool {
+	return s.isCalm(pool, now) && !s.restlessAt[pool].After(since)
 }
 
 // isCalm reports whether a pool has lost few runners lately, so that a crash after
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
+
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -203,3 +205,75 @@
 		t.Errorf("runs %d, calm %t, want a run while the pool is not calm, record %+v", len(x.runs), b.s.isCalm("pool", b.now), x.crashes)
 	}
 }
+
+// of the pool misses polls again and again.
+func TestFlappingRunner(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h")
+	f.settle(100)
+	for range 2 {
+		f.s.PollFailed("a", f.now)
+		f.settle(5)
+		f.report("a")
+	}
+	lasting := f.job(1, job.Step{LongRunning: true})
+	f.s.setCrashes(f.s.jobs[lasting].task(job.Task{Job: lasting}), crash.Record{Crashes: 1, Unresolved: 1, Suspect: true})
+	for i := range lostPasses {
+		if i%20 == 0 { // each 0.6 s
+			f.s.PollFailed("a", f.now)
+		}
+		f.settle(1)
+		f.report("a", f.running(f.s.runners["a"])...)
+		if f.waitingTasks(lasting) == 0 {
+			return
+		}
+	}
+	t.Errorf("task not started in %v, restless %t", lostBound, f.s.restless["pool"])
+}
+
+// TestBurstKnownLate guards against a long-running job that ends because its suspect
+// crashed with many other runners, if that is known only once no more are lost.
+func TestBurstKnownLate(t *testing.T) {
+	b := newBurst(newFixture(t, 1), 24)
+	b.run(4*time.Second, harmless)
+	id := b.job(1, job.Step{LongRunning: true})
+	x := b.s.jobs[id].task(job.Task{Job: id})
+	b.s.setCrashes(x, crash.Record{Crashes: 1, Immediate: 1, Suspect: true})
+	for range 20 {
+		b.step(harmless)
+		if x.live() {
+			break
+		}
+	}
+	if !x.live() {
+		t.Fatal("suspect not started")
+	}
+	for i, other := range b.up() {
+		if i%2 == 0 || other == x.runs[0].runner.ID {
+			b.crash(other)
+			b.down[other] = b.now.Add(3 * time.Second)
+		}
+	}
+	b.run(4*time.Second, harmless)
+	if got := b.outcome(id); got != job.Open {
+		t.Errorf("outcome %v, record %+v, want open", got, x.crashes)
+	}
+}
+
+// TestLostIsolatedRunnersCalm guards against a pool that counts as calm because the
+// runners that it loses are isolated, though no suspect was started there.
+func TestLostIsolatedRunnersCalm(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+	f.settle(100)
+	js := f.s.jobs[f.job(1, job.Step{LongRunning: true, Count: 5, PerRunner: 1})]
+	for _, id := range []runner.ID{"a", "b", "c", "d", "e"} {
+		f.s.runners[id].isolated = js
+	}
+	for _, id := range []runner.ID{"a", "b", "c", "d", "f"} {
+		f.s.PollFailed(id, f.now)
+	}
+	if f.s.isCalm("pool", f.now) {
+		t.Error("calm after the loss of 5 of 10 runners, 4 of them isolated")
+	}
+}
