--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -57,8 +57,8 @@
 	return r.Possible() >= MaxUncertainCrashes || r.Possible() >= MaxSharedCrashes && r.Crashes >= MaxCrashes
 }
 
-// Exhausted reports whether a suspect must not be started again, because too
-// many of its starts may have crashed a runner unseen.
+// Exhausted reports whether a suspect that is not long-running must not be started
+// again, because too many of its starts may have crashed a runner unseen.
 func (r Record) Exhausted() bool {
 	return r.Unresolved > 0 && (r.Immediate+r.Unresolved >= MaxPossibleCrashes || r.Possible() >= MaxSharedCrashes)
 }
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -30,7 +30,23 @@
 // term and that no runner reports, it therefore polls every runner of the
 // roster, which lists all runners that previous leaders may have used. If a
 // runner does not reply, the leader waits until its lease has expired, counted
-// from the last time at which a previous leader may have extended it. While a
+// from the last time at which a previous leader may have extended it. Two lists of
+// machines without the runner, asked after the last command that a previous leader
+// may have sent, show earlier that it has ended; see RunnersListed. While a
 // runner may still report results of runs that were abandoned, the roster has a
 // mark, and a term that inherits it stores the attempt of a task before its start.
+//
+// # Crashes
+//
+// Package crash decides which tasks are suspected of crashing their runners. A
+// suspect is started only on a runner that is isolated for its job; a long-running
+// job gets more of these as they go on. A pool is calm while it loses few runners.
+// A long-running task that two runners may have crashed under waits for that, and
+// its job is not ended for crashes in a pool that was not calm.
+//
+// # Room for long-running tasks
+//
+// A long-running task is stopped on a runner that leaves once another one has room,
+// which is kept until it runs there. While one fits nowhere, runners are held: they
+// get no new batch tasks. What keeps such a task without a run is logged.
 package sched
