--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -46,14 +46,14 @@
 // Possible returns how many runners may have crashed under the task.
 func (r Record) Possible() int { return r.Crashes + r.Unresolved }
 
-// NeedsCalm reports whether a long-running task should be started only while few
+// NeedsStablePool reports whether a long-running task should be started only while few
 // other runners crash, because what it has left of its starts must tell whether it
 // crashes its runners.
-func (r Record) NeedsCalm() bool { return r.Possible() >= MaxCrashes }
+func (r Record) NeedsStablePool() bool { return r.Possible() >= MaxCrashes }
 
-// Condemned reports whether a long-running task must not be started again though
+// RestartsExhausted reports whether a long-running task must not be started again though
 // others of its job are at work.
-func (r Record) Condemned() bool {
+func (r Record) RestartsExhausted() bool {
 	return r.Possible() >= MaxUncertainCrashes || r.Possible() >= MaxSharedCrashes && r.Crashes >= MaxCrashes
 }
 
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -185,9 +185,9 @@
 	}
 }
 
-// TestSecondStartAwaitsCalm guards against a long-running task under which a single
+// TestSecondStartAwaitsStablePool guards against a long-running task under which a single
 // runner crashed and that waits until its pool loses no more of them.
-func TestSecondStartAwaitsCalm(t *testing.T) {
+func TestSecondStartAwaitsStablePool(t *testing.T) {
 	b := newBurst(newFixture(t, 1), 24)
 	b.run(4*time.Second, harmless)
 	id := b.job(1, job.Step{LongRunning: true})
@@ -201,8 +201,8 @@
 	}
 	b.crash(on)
 	b.run(time.Second, harmless)
-	if !x.live() || b.s.isCalm("pool", b.now) {
-		t.Errorf("runs %d, calm %t, want a run while the pool is not calm, record %+v", len(x.runs), b.s.isCalm("pool", b.now), x.crashes)
+	if !x.live() || b.s.isStable("pool", b.now) {
+		t.Errorf("runs %d, stable %t, want a run while the pool is not stable, record %+v", len(x.runs), b.s.isStable("pool", b.now), x.crashes)
 	}
 }
 
@@ -228,7 +228,7 @@
 			return
 		}
 	}
-	t.Errorf("task not started in %v, restless %t", lostBound, f.s.restless["pool"])
+	t.Errorf("task not started in %v, unstable %t", lostBound, f.s.unstable["pool"])
 }
 
 // TestBurstKnownLate guards against a long-running job that ends because its suspect
@@ -260,9 +260,9 @@
 	}
 }
 
-// TestLostIsolatedRunnersCalm guards against a pool that counts as calm because the
+// TestLostIsolatedRunnersUncounted guards against a pool that counts as stable because the
 // runners that it loses are isolated, though no suspect was started there.
-func TestLostIsolatedRunnersCalm(t *testing.T) {
+func TestLostIsolatedRunnersUncounted(t *testing.T) {
 	f := newFixture(t, 1)
 	f.runner("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
 	f.settle(100)
@@ -273,7 +273,7 @@
 	for _, id := range []runner.ID{"a", "b", "c", "d", "f"} {
 		f.s.PollFailed(id, f.now)
 	}
-	if f.s.isCalm("pool", f.now) {
-		t.Error("calm after the loss of 5 of 10 runners, 4 of them isolated")
+	if f.s.isStable("pool", f.now) {
+		t.Error("stable after the loss of 5 of 10 runners, 4 of them isolated")
 	}
 }
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -121,7 +121,7 @@
 	if !js.open() {
 		return true
 	}
-	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.wasCalm(s.service(js), on.lastReply, now))) {
+	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.wasStable(s.service(js), on.lastReply, now))) {
 		if t.isGivenUp() {
 			s.Logger.Log("msg", "task given up, its job goes on", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
 		}
@@ -135,17 +135,17 @@
 // isGivenUp reports whether a long-running task is not started again, though its
 // job goes on.
 func (t *task) isGivenUp() bool {
-	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.Condemned()
+	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.RestartsExhausted()
 }
 
-// awaitsCalm reports whether a long-running task is not started yet, because its
+// awaitsStablePool reports whether a long-running task is not started yet, because its
 // pool loses runners that it may not have crashed.
-func (s *State) awaitsCalm(t *task, now clock.BootTime) bool {
+func (s *State) awaitsStablePool(t *task, now clock.BootTime) bool {
 	c := t.crashes
 	if t.reserved != 0 {
 		c.Unresolved-- // the count of the start that would wait
 	}
-	return t.step.spec.LongRunning && c.NeedsCalm() && !s.isCalm(s.service(t.job), now)
+	return t.step.spec.LongRunning && c.NeedsStablePool() && !s.isStable(s.service(t.job), now)
 }
 
 // hasWorkingTask reports whether a long-running task of a job is at work on another
@@ -212,7 +212,7 @@
 			for _, t := range st.tasks {
 				if t.crashes.Suspect && !t.done {
 					suspected = true
-					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp() && !s.awaitsCalm(t, now)
+					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp() && !s.awaitsStablePool(t, now)
 				}
 			}
 		}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -92,7 +92,7 @@
 		return "retry not due"
 	case !s.runsKnown(t):
 		return "may run on a runner of the previous term"
-	case s.awaitsCalm(t, now):
+	case s.awaitsStablePool(t, now):
 		return "runners of the pool are being lost"
 	case t.reserved != 0 && t.job.storedVersion < t.reservedVersion:
 		return "record not stored"
