sched: log why a runner is not usable and what a start waits for

The hypotheses on long-running tasks without a run could not be told apart: ten conditions were logged as "unusable", nothing named the runner of the previous term that a task waits for, nor how often a start of it was counted, nor whether a pool's need was cut when it was scaled to the fleet.

TestWaitingTaskHidesUnusable fails without the new keys.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -18,6 +18,8 @@
 	// timely is the number of machines for the work that can still meet its
 	// objective; target includes the late work.
 	timely, target int
+	needed         int // timely before it was scaled to the fleet
+	unplaced       int // machines for long-running tasks that fit nowhere
 	idle           []*runnerState
 	busy           []*runnerState // without long-running tasks
 }
@@ -61,11 +63,13 @@
 		if d.maxCPU > 0 {
 			current, soon := s.desiredCPU(name, now)
 			d.timely = max(d.timely, d.machinesFor(current), s.longRunningMachines(d))
-			if n := s.machinesForUnplaced(d); n > 0 && len(d.idle) == 0 {
-				d.timely = max(d.timely, present[name]+n)
+			d.unplaced = s.machinesForUnplaced(d)
+			if d.unplaced > 0 && len(d.idle) == 0 {
+				d.timely = max(d.timely, present[name]+d.unplaced)
 			}
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
+		d.needed = d.timely
 		slices.SortFunc(d.busy, func(a, b *runnerState) int {
 			return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
 		})
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -45,7 +45,8 @@
 		t.reserved, t.attempt = attempt, max(t.attempt, attempt)
 		s.markChanged(t.job)
 		t.reservedVersion = t.job.version
-		s.Logger.Log("msg", "attempt number reserved", "task", t.name, "attempt", attempt)
+		s.Logger.Log("msg", "attempt number reserved", "task", t.name, "attempt", attempt,
+			"suspect", t.crashes.Suspect, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
 	}
 	return t.job.storedVersion >= t.reservedVersion
 }
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -114,12 +114,6 @@
 // expiryMargin covers the rounding of the clocks to milliseconds.
 const expiryMargin = 20 * time.Millisecond
 
-// usable reports whether new runs may be started on a runner.
-func (s *State) usable(rs *runnerState, now clock.BootTime) bool {
-	registered := rs.registered || now.Sub(rs.deregisteredAt) < reregisterTimeout
-	return registered && !rs.ended && rs.announced == nil && rs.withheld == 0 && s.rostered[rs.ID] && rs.replied && !rs.unreachable && !rs.Draining && !rs.cordoned && !rs.blockedUntil.After(now)
-}
-
 // lease returns the lease end to send, the latest that the platform allows, and
 // records it in leaseUntil. The estimate of the runner's clock may be ahead of
 // the clock; the runner then shortens the lease. While the stored roster has no
--- /dev/null
+++ b/internal/sched/usability.go
@@ -0,0 +1,57 @@
+package sched
+
+import "gypsumtrestle.example/gypsumtrestle/internal/clock"
+
+// usability is whether new runs may be started on a runner and, if not, why.
+type usability int
+
+const (
+	isUsable         usability = iota
+	hasEnded                   // its incarnation has ended
+	isDeregistered             // its entry was removed from the store
+	notReplied                 // it has not replied in this term
+	isUnreachable              // it did not reply to the last poll
+	isDraining                 // it leaves by itself
+	isCordoned                 // it leaves for a wave or a move
+	restartAnnounced           // its entry is that of a later incarnation, which has not replied
+	resultWithheld             // it has a result that must not be acknowledged
+	notInRoster                // the stored roster has no open entry for it
+	startRejected              // it has just rejected a start
+	usabilities                // number of usabilities
+)
+
+func (u usability) String() string {
+	return [...]string{"usable", "ended", "deregistered", "not_replied", "unreachable", "draining", "cordoned", "announced", "withheld", "not_in_roster", "blocked"}[u]
+}
+
+// usability returns whether new runs may be started on a runner.
+func (s *State) usability(rs *runnerState, now clock.BootTime) usability {
+	switch {
+	case rs.ended:
+		return hasEnded
+	case !rs.registered && now.Sub(rs.deregisteredAt) >= reregisterTimeout:
+		return isDeregistered
+	case !rs.replied:
+		return notReplied
+	case rs.unreachable:
+		return isUnreachable
+	case rs.Draining:
+		return isDraining
+	case rs.cordoned:
+		return isCordoned
+	case rs.announced != nil:
+		return restartAnnounced
+	case rs.withheld != 0:
+		return resultWithheld
+	case !s.rostered[rs.ID]:
+		return notInRoster
+	case rs.blockedUntil.After(now):
+		return startRejected
+	}
+	return isUsable
+}
+
+// usable reports whether new runs may be started on a runner.
+func (s *State) usable(rs *runnerState, now clock.BootTime) bool {
+	return s.usability(rs, now) == isUsable
+}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 const (
@@ -110,8 +111,12 @@
 	t := g.first
 	svc := s.service(t.job)
 	var count [obstacles]int
+	var why [usabilities]int // of the unusable ones
 	for _, rs := range s.byPool[svc] {
 		o := s.obstacleTo(rs, t, now)
+		if o == unusable {
+			why[s.usability(rs, now)]++
+		}
 		if o == noObstacle && !s.isolationAllows(rs, t, now) {
 			o = isolated
 		}
@@ -127,5 +132,32 @@
 			kv = append(kv, o.String(), count[o])
 		}
 	}
+	for u := hasEnded; u < usabilities; u++ {
+		if why[u] > 0 {
+			kv = append(kv, u.String(), why[u])
+		}
+	}
+	if id, in := s.lastPrevious(t); in != nil {
+		kv = append(kv, "for_runner", id, "left", in.until.Sub(now), "closed", in.closed)
+	}
 	s.Logger.Log(kv...)
 }
+
+// lastPrevious returns the runner of a previous term that a task waits for the
+// longest, or nil.
+func (s *State) lastPrevious(t *task) (runner.ID, *inherited) {
+	var last runner.ID
+	var until *inherited
+	if s.runsKnown(t) {
+		return last, until
+	}
+	for id, in := range s.inherited {
+		if in.closed && !slices.Contains(in.tasks, t.name) {
+			continue
+		}
+		if until == nil || cmp.Or(cmp.Compare(until.until, in.until), cmp.Compare(id, last)) < 0 {
+			last, until = id, in
+		}
+	}
+	return last, until
+}
--- a/internal/sched/waiting_test.go
+++ b/internal/sched/waiting_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
 
@@ -45,3 +46,44 @@
 		})
 	}
 }
+
+// TestWaitingTaskHidesUnusable guards against a log that does not tell why the runners
+// of a pool cannot be used, nor for which runner of the previous term a task waits.
+func TestWaitingTaskHidesUnusable(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil func(f *fixture)
+		want  string
+	}{
+		"unreachable": {func(f *fixture) { f.s.PollFailed("a", f.now) }, " unusable 1 unreachable 1"},
+		"draining":    {func(f *fixture) { f.s.runners["a"].Draining = true }, " unusable 1 draining 1"},
+		"withheld":    {func(f *fixture) { f.s.runners["a"].withheld = 1 }, " unusable 1 withheld 1"},
+		"not in roster": {func(f *fixture) {
+			f.s.storedRoster = nil
+			clear(f.s.rostered)
+		}, " unusable 1 not_in_roster 1"},
+		"previous term": {func(f *fixture) {
+			e := RosterEntry{ID: "p", Addr: info("p", "pool").Addr, Incarnation: 1}
+			f.s.Term = 101 // later than the job
+			f.s.InheritRoster([]RosterEntry{e})
+		}, " for_runner p left 11s closed false"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			var line string
+			f.s.Logger = log.LoggerFunc(func(kv ...any) error {
+				if kv[1] == "long-running tasks wait" {
+					line = strings.TrimSuffix(fmt.Sprintln(kv...), "\n")
+				}
+				return nil
+			})
+			f.runner("a")
+			f.job(1, job.Step{LongRunning: true})
+			c.spoil(f)
+			f.now += 4*second - clock.BootTime(fullPlanInterval)
+			f.plan()
+			if !strings.HasSuffix(line, c.want) {
+				t.Errorf("line %q, want it to end in %q", line, c.want)
+			}
+		})
+	}
+}
