crash: a crash subtracts only the start under which it happened

A task that crashes its runners could be started too often: an unknown start of a suspect was forgotten once a later start had gone on and its runner crashed afterwards (BUDGET).

Cause: Charge subtracted one from the unresolved starts for each confirmed crash, also if the start of that run had been resolved before. The count was a number, from which nobody could tell which starts it held.

Each task now has the attempts whose starts are counted, and Run.Counted tells Charge. A start is resolved by its attempt: a result, a stop or a lapse of another attempt resolves nothing. On a runner that ended, the start of a run after which it went on is resolved; the others stay counted.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -63,8 +63,8 @@
 	return r.Unresolved > 0 && (r.Immediate+r.Unresolved >= MaxPossibleCrashes || r.Possible() >= MaxSharedCrashes)
 }
 
-// WentOn returns the record after the runner of a suspect has gone on after a start
-// apart from other jobs. The task may still crash it later.
+// WentOn returns the record after the runner of a suspect has gone on after a counted
+// start apart from other jobs. The task may still crash it later.
 func (r Record) WentOn() Record {
 	r.Immediate, r.Unresolved = 0, max(r.Unresolved-1, 0)
 	return r
@@ -78,6 +78,8 @@
 	// the start; zero if it never knew. Then the runner may have crashed before it
 	// received the start.
 	ConfirmedAt clock.BootTime
+	// Counted is set if the start is in Unresolved.
+	Counted bool
 }
 
 // IsFresh reports whether a run that was confirmed at a time, or never, may have
@@ -130,8 +132,10 @@
 			if isFresh {
 				v.Immediate++
 			}
-			v.Unresolved = max(v.Unresolved-1, 0) // the count of this start
-		case !r.Suspect:
+			if r.Counted {
+				v.Unresolved--
+			}
+		case !r.Counted:
 			v.Unresolved++
 		}
 		v.Suspect = r.Suspect || isFresh || v.Crashes >= MaxCrashes
--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -113,7 +113,9 @@
 // sees unless it ends before.
 func (m *model) crash(on int, unseen, confirmed bool) {
 	runs := m.runs(on)
+	counted := make(map[*modelTask]bool)
 	for _, x := range runs {
+		counted[x] = x.counted
 		x.on, x.counted = -1, false
 		x.crashes++
 		if unseen = unseen && (x.record.Suspect || x.unseen < modelUnseen || !x.deadly); !unseen {
@@ -135,7 +137,7 @@
 	}
 	var rs []Run
 	for _, x := range runs {
-		r := Run{Record: x.record, Job: x.id, ConfirmedAt: x.since}
+		r := Run{Record: x.record, Job: x.id, ConfirmedAt: x.since, Counted: counted[x]}
 		if x.since == heard && !confirmed {
 			r.ConfirmedAt = 0
 		}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -37,7 +37,7 @@
 	switch {
 	case in == rs.Incarnation:
 		for _, r := range rs.abandoned {
-			s.startResolved(r.task) // it lapsed
+			s.startResolved(r.task, r.attempt) // it lapsed
 		}
 		rs.abandoned = nil
 		if rs.announced != nil && sent.After(rs.announcedAt) {
@@ -200,9 +200,7 @@
 // endIncarnation records that all runs on a runner ended with its incarnation.
 func (s *State) endIncarnation(rs *runnerState, why evidence, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
-		if !r.mayHaveBegun() {
-			s.runResolved(r)
-		}
+		s.endCounted(r)
 		s.runLost(r, why.String(), now)
 	}
 	rs.unacked = nil
--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -195,7 +195,7 @@
 		js.isolatedOn.wentOn++
 		for _, r := range runsOf(rs) {
 			if t := r.task; t.job == js && t.crashes.Suspect && !r.unsettled {
-				s.setCrashes(t, t.crashes.WentOn())
+				s.wentOn(r)
 			}
 		}
 	}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -74,7 +74,8 @@
 	reserved        int
 	reservedVersion uint64
 	crashes         crash.Record
-	proven          bool // a run of this term went on for crash.ProvenAfter
+	counted         []int // attempts whose starts are in crashes.Unresolved
+	proven          bool  // a run of this term went on for crash.ProvenAfter
 }
 
 // live reports whether a run may exist.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -141,7 +141,7 @@
 				rs.unreported = true
 				r.task.possibleResult = true
 				if r.mayHaveBegun() {
-					rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, confirmedAt: r.confirmedAt})
+					rs.abandoned = append(rs.abandoned, abandonedRun{task: r.task, attempt: r.attempt, confirmedAt: r.confirmedAt})
 				} else {
 					s.runResolved(r)
 				}
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -40,7 +40,7 @@
 			if t.crashes.Exhausted() && !t.step.spec.LongRunning && s.giveUp(t, nil, now) {
 				return false
 			}
-			t.crashes.Unresolved++
+			t.countStart(attempt)
 		}
 		t.reserved, t.attempt = attempt, max(t.attempt, attempt)
 		s.markChanged(t.job)
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -12,6 +12,7 @@
 // The runner may have crashed.
 type abandonedRun struct {
 	task        *task
+	attempt     int
 	confirmedAt clock.BootTime
 }
 
@@ -23,21 +24,22 @@
 	}
 	s.recordLoss(rs, now)
 	var tasks []*task
+	var attempts []int
 	var runs []crash.Run
-	add := func(t *task, confirmedAt clock.BootTime) {
+	add := func(t *task, attempt int, confirmedAt clock.BootTime) {
 		if t.done || !t.job.open() {
 			return
 		}
-		tasks = append(tasks, t)
-		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt})
+		tasks, attempts = append(tasks, t), append(attempts, attempt)
+		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt, Counted: t.isCounted(attempt)})
 	}
 	for _, r := range runsOf(rs) {
 		if r.mayHaveBegun() {
-			add(r.task, r.confirmedAt)
+			add(r.task, r.attempt, r.confirmedAt)
 		}
 	}
 	for _, r := range rs.abandoned {
-		add(r.task, r.confirmedAt)
+		add(r.task, r.attempt, r.confirmedAt)
 	}
 	if len(runs) == 0 {
 		return
@@ -50,6 +52,7 @@
 		if !v.Charged {
 			continue
 		}
+		t.forgetStart(attempts[i])
 		s.setCrashes(t, v.Record)
 		if is := t.job.isolatedOn; is != nil && runs[i].Suspect {
 			is.wentOn = 0
@@ -180,6 +183,7 @@
 // does not crash its runners.
 func (s *State) clearCrashes(t *task) {
 	if t.crashes != (crash.Record{}) {
+		t.counted = nil
 		s.setCrashes(t, crash.Record{})
 	}
 }
@@ -189,18 +193,7 @@
 // crashed after it.
 func (s *State) runResolved(r *run) {
 	if !r.unsettled {
-		s.startResolved(r.task)
-	}
-}
-
-// startResolved records that the last counted start of a suspect did not crash its
-// runner: the runner went on after it, or rejected it, or the run ended. This
-// alone does not clear the task.
-func (s *State) startResolved(t *task) {
-	if t.crashes.Unresolved > 0 {
-		r := t.crashes
-		r.Unresolved--
-		s.setCrashes(t, r)
+		s.startResolved(r.task, r.attempt)
 	}
 }
 
