sched: resolve a start that a former leader counted once its runner replies

Cause: a suspect's start is counted in the store before it is sent. A leader that ends before it sends it leaves a count from which nobody can tell that no runner got the start. Two such counts after one crash failed the job of a batch task, four ended the restarts of a long-running one. Class: a record that is written ahead without what a successor needs to undo it.

TestUnsentStartsEndTask failed before: "record {Crashes:1 Immediate:1 Suspect:true Unresolved:2}, outcome failed" for a batch task, and "why given up ... crashes 1 unresolved 4" for a long-running one, while all runners went on.

The count now has the runner and its incarnation. The start goes only there; if it cannot, the count moves first. When that incarnation replies to a later term, it has gone on, and it rejects what the earlier term still sends, so that the start is resolved whether or not it was sent. If the incarnation has ended, the count stays (TestStartOfEndedRunnerForgotten). A task is not given up for counts of runners that are registered and have not replied yet (TestSilentRunnerEndsTask). The limits are unchanged. Stored: two more fields for each counted start, which only suspects have; no more writes, unless the runner changes between count and start.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -99,6 +99,8 @@
 	Record
 	Charged bool // the crash counts against the task, or may do so
 	GiveUp  bool // the job of the task fails
+	// Uncertain is set if GiveUp rests on unresolved starts.
+	Uncertain bool
 }
 
 // Charge decides on the runs of a runner that has crashed, in their order, given
@@ -140,7 +142,9 @@
 		}
 		v.Suspect = r.Suspect || isFresh || v.Crashes >= MaxCrashes
 		alone := confirmed && isFresh && len(fresh) == 1
-		v.GiveUp = r.Suspect && (alone && v.Immediate >= MaxCrashes || v.Crashes >= MaxSharedCrashes || v.Exhausted())
+		certain := alone && v.Immediate >= MaxCrashes || v.Crashes >= MaxSharedCrashes
+		v.GiveUp = r.Suspect && (certain || v.Exhausted())
+		v.Uncertain = v.GiveUp && !certain
 	}
 	return verdicts
 }
--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -45,7 +45,8 @@
 // # Change of leader
 //
 // A record is stored before its task is started again, and each start of a
-// suspect is counted in the store before it is sent. A leader that ends before it
-// sees the crash therefore leaves an unresolved start. A start is no longer counted
-// once the runner has gone on after it.
+// suspect is counted in the store before it is sent, with the incarnation of the
+// runner that it is to be sent to. A leader that ends before it sees the crash
+// therefore leaves an unresolved start. A start is no longer counted once the runner
+// has gone on after it, or replies to a later leader in that incarnation.
 package crash
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -40,6 +40,17 @@
 	Crashes    int  `cbor:"8,keyasint,omitempty"`
 	Suspect    bool `cbor:"9,keyasint,omitempty"`
 	Unresolved int  `cbor:"10,keyasint,omitempty"`
+	// Counted are the starts in Unresolved of which a runner may still tell whether
+	// they crashed it.
+	Counted []CountedStart `cbor:"11,keyasint,omitempty"`
+}
+
+// CountedStart is a start that was counted before it was sent.
+type CountedStart struct {
+	Attempt int `cbor:"1,keyasint"`
+	// Runner is the one that it was counted for; empty if it may be sent to any.
+	Runner      string `cbor:"2,keyasint,omitempty"`
+	Incarnation int64  `cbor:"3,keyasint,omitempty"`
 }
 
 // Progress is the durable record of a job's progress. The leader writes it. A
--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -67,7 +67,7 @@
 // a gang, the runs of the other members are stopped for the given reason.
 func (s *State) release(r *run, why string, now clock.BootTime) {
 	r.runner.remove(r)
-	s.startResolved(r.task, r.attempt)
+	s.startResolved(r.task, r.attempt, r.runner)
 	r.task.endedAt = now
 	if r.task.step.spec.Gang {
 		s.stopGang(r.task.step, why)
--- /dev/null
+++ b/internal/sched/counted_test.go
@@ -0,0 +1,138 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/crash"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+)
+
+// nextTerm returns the next leader, which finds the stored progress of a job, and the
+// given runners in an incarnation.
+func (f *fixture) nextTerm(id job.ID, in runner.Incarnation, runners ...runner.ID) *fixture {
+	f.t.Helper()
+	next := newFixture(f.t, f.s.Term+100)
+	next.s.InheritRoster(nil)
+	old := f.s.jobs[id]
+	next.s.AddJob(old.def, kv.Revision(100), old.progress(), 1, next.now, time.Unix(0, 0))
+	next.incarnation = in
+	next.runner(runners...)
+	return next
+}
+
+// planUntil runs planning passes until a condition holds, with all progress stored and
+// reports of all runners, and reports whether it did.
+func (f *fixture) planUntil(passes int, cond func() bool) bool {
+	for range passes {
+		f.plan()
+		f.flush()
+		if cond() {
+			return true
+		}
+		for id, rs := range f.s.runners {
+			if rs.replied && !rs.ended {
+				f.report(id, f.running(rs)...)
+			}
+		}
+	}
+	return false
+}
+
+// suspected returns a term that knows one crash under the task of a job.
+func suspected(t *testing.T, step job.Step) (*fixture, job.ID) {
+	f := newFixture(t, 200)
+	f.runner("a", "b")
+	id := f.job(1, step)
+	f.s.setCrashes(f.s.jobs[id].task(job.Task{Job: id}), crash.Record{Crashes: 1, Immediate: 1, Suspect: true})
+	return f, id
+}
+
+// TestUnsentStartsEndTask guards against a task that is given up because leaders ended
+// after they had counted a start of it, and before they sent it, while the runners that
+// it was counted for go on.
+func TestUnsentStartsEndTask(t *testing.T) {
+	for name, step := range map[string]job.Step{"batch": {}, "long-running": {LongRunning: true}} {
+		t.Run(name, func(t *testing.T) {
+			f, id := suspected(t, step)
+			for range 6 {
+				x := f.s.jobs[id].task(job.Task{Job: id})
+				if !f.planUntil(200, func() bool { return x.reserved != 0 || x.live() }) {
+					t.Fatalf("no start is counted with record %+v, outcome %v", x.crashes, f.outcome(id))
+				}
+				f = f.nextTerm(id, 1, "a", "b")
+			}
+			x := f.s.jobs[id].task(job.Task{Job: id})
+			if !f.planUntil(200, x.live) {
+				t.Errorf("no start, record %+v, outcome %v", x.crashes, f.outcome(id))
+			}
+		})
+	}
+}
+
+// TestStartOfEndedRunnerForgotten guards against a task that is started without limit by
+// leaders that end at once, while it crashes each runner.
+func TestStartOfEndedRunnerForgotten(t *testing.T) {
+	for name, step := range map[string]job.Step{"batch": {}, "long-running": {LongRunning: true}} {
+		t.Run(name, func(t *testing.T) {
+			f, id := suspected(t, step)
+			const allowed = 5 // starts of a task that crashes its runners
+			starts := 1
+			for in := runner.Incarnation(1); ; in++ {
+				x := f.s.jobs[id].task(job.Task{Job: id})
+				if !f.planUntil(200, x.live) {
+					break
+				}
+				if starts++; starts > allowed {
+					t.Fatalf("started %d times, record %+v", starts, x.crashes)
+				}
+				f = f.nextTerm(id, in+1, "a", "b")
+			}
+		})
+	}
+}
+
+// TestCountMovesToOtherRunner guards against a count that stays with a runner which was
+// lost before the start was sent, so that the next leader takes the end of that runner
+// for one after the start.
+func TestCountMovesToOtherRunner(t *testing.T) {
+	f, id := suspected(t, job.Step{})
+	x := f.s.jobs[id].task(job.Task{Job: id})
+	if !f.planUntil(200, func() bool { return x.reserved != 0 }) {
+		t.Fatal("no start is counted")
+	}
+	lost := x.counted[0].on
+	f.s.PollFailed(lost, f.now)
+	if !f.planUntil(200, x.live) || len(x.counted) != 1 || x.counted[0].on != x.runs[0].runner.ID {
+		t.Errorf("counted starts %+v, runs %d, want one on the runner of the run, which is not %s", x.counted, len(x.runs), lost)
+	}
+}
+
+// TestSilentRunnerEndsTask guards against a job that fails for starts whose runners the
+// new leader has not reached yet, and which may have gone on.
+func TestSilentRunnerEndsTask(t *testing.T) {
+	f, id := suspected(t, job.Step{})
+	f.s.PollFailed("b", f.now)
+	var x *task
+	for _, on := range []runner.ID{"a", "b", "c"} {
+		if on != "a" {
+			f = f.nextTerm(id, 1, on)
+			for _, silent := range []runner.ID{"a", "b"} {
+				if f.s.runners[silent] == nil {
+					f.s.SetRunner(info(silent, "pool"), f.now)
+				}
+			}
+		}
+		x = f.s.jobs[id].task(job.Task{Job: id})
+		counted := f.planUntil(30, func() bool { return x.reserved != 0 })
+		if counted != (on != "c") || f.outcome(id) != job.Open {
+			t.Fatalf("start counted on %s: %t, record %+v, outcome %v", on, counted, x.crashes, f.outcome(id))
+		}
+	}
+	f.report("a")
+	if !f.planUntil(30, x.live) {
+		t.Errorf("no start after a runner has gone on, record %+v, outcome %v", x.crashes, f.outcome(id))
+	}
+}
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -40,7 +40,8 @@
 //
 // Package crash decides which tasks are suspected of crashing their runners. A
 // suspect is started only on a runner that is isolated for its job; a long-running
-// job gets more of these as they go on. A pool is stable while it loses few runners.
+// job gets more of these as they go on. Each start is counted in the store, for that
+// runner, before it is sent, and resolved when a runner shows that it went on. A pool is stable while it loses few runners.
 // A long-running task that two runners may have crashed under waits for that, and
 // its job is not ended for crashes in a pool that was not stable.
 //
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -37,7 +37,7 @@
 	switch {
 	case in == rs.Incarnation:
 		for _, r := range rs.abandoned {
-			s.startResolved(r.task, r.attempt) // it lapsed
+			s.startResolved(r.task, r.attempt, rs) // it lapsed
 		}
 		rs.abandoned = nil
 		if rs.announced != nil && sent.After(rs.announcedAt) {
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -74,8 +74,8 @@
 	reserved        int
 	reservedVersion uint64
 	crashes         crash.Record
-	counted         []int // attempts whose starts are in crashes.Unresolved
-	proven          bool  // a run of this term went on for crash.ProvenAfter
+	counted         []countedStart // in crashes.Unresolved
+	proven          bool           // a run of this term went on for crash.ProvenAfter
 }
 
 // live reports whether a run may exist.
@@ -180,6 +180,7 @@
 				t.done, t.failed, t.attempt, t.checkpoint = p.Done, p.Failed, p.Attempt, p.Checkpoint
 				t.unreported = p.Attempt > 1
 				t.crashes = crash.Record{Crashes: p.Crashes, Immediate: p.Crashes, Suspect: p.Suspect, Unresolved: p.Unresolved}
+				t.inheritCounted(p)
 				if t.done {
 					s.done++
 				}
@@ -337,6 +338,7 @@
 				if !t.done {
 					r.Checkpoint = t.checkpoint
 					r.Crashes, r.Suspect, r.Unresolved = t.crashes.Crashes, t.crashes.Suspect, t.crashes.Unresolved
+					r.Counted = t.storedCounted()
 				}
 				p.Tasks = append(p.Tasks, r)
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -45,7 +45,12 @@
 			continue
 		}
 		rs := last
-		if rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now) {
+		switch counted := s.countedFor(t, now); {
+		case counted != nil:
+			if rs = counted; !s.allowed(rs, t, now) {
+				continue // it is isolated for the task and replies soon, or its isolation ends
+			}
+		case rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now):
 			rs = s.choose(runners, t, now)
 		}
 		if rs == nil && !t.crashes.Suspect && !s.suspected[t.job] {
@@ -61,7 +66,7 @@
 			// tasks is also best for the next, as long as that fits.
 			last = rs
 		}
-		if attempt := s.nextAttempt(t); s.reserve(t, attempt, now) {
+		if attempt := s.nextAttempt(t); s.reserve(t, rs, attempt, now) {
 			s.schedule(t, rs, attempt, now)
 			started = true
 			if !group.extend(t, rs, attempt) {
@@ -272,7 +277,7 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if !s.reserve(t, attempt, now) {
+			if !s.reserve(t, nil, attempt, now) {
 				chosen = nil
 			}
 		}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -98,7 +98,7 @@
 	if res.Cause == runner.Done || res.Cause == runner.Failed {
 		s.clearCrashes(t)
 	} else if r == nil || !r.unsettled {
-		s.startResolved(t, res.Attempt)
+		s.startResolved(t, res.Attempt, rs)
 	}
 	switch res.Cause {
 	case runner.Done:
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -6,6 +6,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // abandonedRun is a run that was given up when the lease of its runner expired.
@@ -31,7 +32,7 @@
 			return
 		}
 		tasks, attempts = append(tasks, t), append(attempts, attempt)
-		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt, Counted: t.isCounted(attempt)})
+		runs = append(runs, crash.Run{Record: t.crashes, Job: t.name.Job, ConfirmedAt: confirmedAt, Counted: t.isCounted(attempt, rs)})
 	}
 	for _, r := range runsOf(rs) {
 		if r.mayHaveBegun() {
@@ -63,7 +64,7 @@
 		if v.Suspect {
 			suspects[t.name.Job] = true
 		}
-		if v.GiveUp {
+		if v.GiveUp && (!v.Uncertain || !s.mayResolve(t)) {
 			given = append(given, t)
 		}
 	}
@@ -126,11 +127,11 @@
 	}
 	if t.step.spec.LongRunning && (js.hasWorkingTask(on) || !t.isGivenUp() && (t.crashes.Crashes < crash.MaxCrashes || !s.wasStable(s.service(js), on.lastReply, now))) {
 		if t.isGivenUp() {
-			s.Logger.Log("msg", "task given up, its job goes on", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+			s.Logger.Log("msg", "task given up, its job goes on", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved, "counted", len(t.counted))
 		}
 		return t.isGivenUp()
 	}
-	s.Logger.Log("msg", "task given up", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
+	s.Logger.Log("msg", "task given up", "task", t.name, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved, "counted", len(t.counted))
 	s.close(js, job.Failed, "task "+t.name.String()+" crashed its runners", now)
 	return true
 }
@@ -193,7 +194,7 @@
 // crashed after it.
 func (s *State) runResolved(r *run) {
 	if !r.unsettled {
-		s.startResolved(r.task, r.attempt)
+		s.startResolved(r.task, r.attempt, r.runner)
 	}
 }
 
@@ -213,12 +214,19 @@
 	return waits, suspected
 }
 
-// inheritCrashes records whether a previous term stored a suspect of a job.
+// inheritCrashes records whether a previous term stored a suspect of a job, and the
+// runners that it counted starts for.
 func (s *State) inheritCrashes(js *jobState) {
-	for _, p := range js.storedTasks {
-		if p.Suspect && !p.Done {
+	for name, p := range js.storedTasks {
+		if p.Done {
+			continue
+		}
+		if p.Suspect {
 			s.suspected[js] = true
-			return
+		}
+		for _, c := range p.Counted {
+			id := runner.ID(c.Runner)
+			s.countedOn[id] = append(s.countedOn[id], name)
 		}
 	}
 }
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -20,13 +20,15 @@
 	now      clock.BootTime
 	results  map[runner.ID][]runner.RunResult
 	commands []Command
+	// incarnation is that of the runners.
+	incarnation runner.Incarnation
 }
 
 const second = clock.BootTime(time.Second)
 
 func newFixture(t *testing.T, term runner.Term) *fixture {
 	t.Helper()
-	f := &fixture{t: t, now: 1000 * second, results: make(map[runner.ID][]runner.RunResult)}
+	f := &fixture{t: t, now: 1000 * second, incarnation: 1, results: make(map[runner.ID][]runner.RunResult)}
 	f.s = New(term, f.now, Limits{MaxRunnerLease: 6 * time.Second, OutcomeRetention: time.Minute, RunnerTakeover: 15 * time.Second}, testLogger(t))
 	f.s.Configure(job.NewConfig(1, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
 		[]*job.Service{{Name: "pool", EnforcesCapacity: true}}, job.Limits{}))
@@ -43,7 +45,9 @@
 // runner registers runners that have replied to a poll.
 func (f *fixture) runner(ids ...runner.ID) {
 	for _, id := range ids {
-		f.s.SetRunner(info(id, "pool"), f.now)
+		i := info(id, "pool")
+		i.Incarnation = f.incarnation
+		f.s.SetRunner(i, f.now)
 	}
 	for _, id := range ids {
 		f.report(id)
@@ -80,7 +84,7 @@
 // report lets a runner report the given runs and all its results.
 func (f *fixture) report(id runner.ID, runs ...runner.Run) {
 	f.s.HandleReport(f.s.runners[id].target(), f.now, f.now, &runner.Report{
-		Incarnation: 1, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond)), Running: runs, Results: f.results[id],
+		Incarnation: f.incarnation, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond)), Running: runs, Results: f.results[id],
 	})
 }
 
