crash: leaders that end before a start in the model

The model let leaders end at a crash only, so that it could not show a task that is given up for starts that were never sent. Two weakened variants fail: "unsent", which resolves none, gives up a task that crashes no runner; "incarnation", which resolves all, starts a deadly task too often.

--- a/internal/crash/model_test.go
+++ b/internal/crash/model_test.go
@@ -14,8 +14,9 @@
 
 // The model starts the tasks of jobs on runners. Some tasks crash each runner
 // that starts them; no runner crashes by itself. Leaders end, before they store
-// a crash or while a start is on its way. It checks that a deadly task is not
-// started a third time after three crashes, and that no other job is given up.
+// a crash, while a start is on its way, or before they send it. The next one resolves
+// the starts that were counted for runners which are still up. It checks that a deadly
+// task is not started a third time after three crashes, and that no other job is given up.
 
 const (
 	modelStarts      = 2 // starts that are allowed after the third crash
@@ -33,18 +34,23 @@
 	stored  Record
 	on      int // runner, or -1
 	since   clock.BootTime
-	counted bool // the start of the run is unresolved
-	crashes int  // by the runners' count
+	counted bool         // the start of the run is unresolved
+	starts  []modelStart // that are counted and may be resolved by a later leader
+	crashes int          // by the runners' count
 	unseen  int
 	late    int // starts after the third crash
 	ended   bool
 }
 
+// modelStart is a start that was counted for an incarnation of a runner.
+type modelStart struct{ on, incarnation int }
+
 type model struct {
 	t        *rapid.T
 	now      clock.BootTime
 	tasks    []*modelTask
 	isolated [modelRunners]*modelTask // the suspect for which a runner is kept
+	present  [modelRunners]int        // incarnations of the runners
 	weakest  string
 }
 
@@ -95,6 +101,11 @@
 		if m.weakest != "unresolved" {
 			x.record.Unresolved++
 			x.stored, x.counted = x.record, true
+			x.starts = append(x.starts, modelStart{on, m.present[on]})
+		}
+		if rapid.IntRange(0, 4).Draw(t, "leader ends before the start") == 0 {
+			m.nextLeader()
+			return
 		}
 		m.isolated[on] = x
 	}
@@ -126,13 +137,11 @@
 		}
 	}
 	m.isolated[on] = nil
+	m.present[on]++
 	heard := m.now
 	m.now = m.now.Add(modelDeadlyAfter)
 	if unseen {
-		for _, x := range m.tasks {
-			x.record = x.stored
-			x.record.Immediate = x.record.Crashes // which is not stored
-		}
+		m.nextLeader()
 		return
 	}
 	var rs []Run
@@ -145,6 +154,7 @@
 	}
 	for i, v := range Charge(rs, heard) {
 		x := runs[i]
+		x.starts = nil // the leader knows that this incarnation has ended
 		if m.weakest == "unconfirmed" && rs[i].ConfirmedAt == 0 {
 			v.Unresolved = 0
 		}
@@ -158,6 +168,22 @@
 	}
 }
 
+// nextLeader lets a leader follow that finds the stored records, and that every runner
+// replies to.
+func (m *model) nextLeader() {
+	for _, x := range m.tasks {
+		x.record = x.stored
+		x.record.Immediate = x.record.Crashes // which is not stored
+		for _, st := range x.starts {
+			if m.weakest != "unsent" && (m.present[st.on] == st.incarnation || m.weakest == "incarnation") {
+				x.record.Unresolved--
+			}
+		}
+		x.starts, x.counted = nil, false
+		x.stored = x.record
+	}
+}
+
 func (m *model) giveUp(x *modelTask) {
 	x.ended = true
 	if !x.deadly && x.crashes < MaxSharedCrashes {
@@ -179,7 +205,7 @@
 	for _, x := range m.tasks {
 		if x.on >= 0 && x.counted && !IsFresh(x.since, m.now) {
 			x.record = x.record.WentOn()
-			x.stored, x.counted = x.record, false
+			x.stored, x.counted, x.starts = x.record, false, nil
 		}
 	}
 }
@@ -188,7 +214,8 @@
 // starting suspects apart; "stored", storing a record before the task is started
 // again; "unresolved", counting the starts of suspects; "unconfirmed", counting the
 // starts that were not confirmed; "alone", giving up only a task that had been
-// started alone.
+// started alone; "unsent", resolving the starts on runners that are up; "incarnation",
+// resolving only these.
 func checkModel(weakest string) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := &model{t: t, now: clock.BootTime(100 * time.Second), weakest: weakest}
@@ -212,7 +239,7 @@
 // when a safeguard is left out.
 func TestModelFindsFaults(t *testing.T) {
 	models := make(map[string]func(*rapid.T))
-	for _, weakest := range []string{"isolation", "stored", "unresolved", "unconfirmed", "alone"} {
+	for _, weakest := range []string{"isolation", "stored", "unresolved", "unconfirmed", "alone", "unsent", "incarnation"} {
 		models[weakest] = checkModel(weakest)
 	}
 	modeltest.MustFail(t, models)
