sched: the start that may be a suspect's last waits for a stable pool

Jobs failed in a burst of crashes although at most one runner had crashed under their task (LOST): three starts of it were sent to runners that had crashed silently and never received them.

Cause: a start without confirmation counts as a possible crash, and three of them end the job. In a burst most starts are lost in that way, one every 0.7 s. Long-running tasks wait until their pool loses few runners before a start that may be their last; batch tasks did not.

TestBurstEndsBatchTask failed before: "outcome failed after 3 lost starts, record {Crashes:0 Immediate:0 Suspect:true Unresolved:3}".

A batch task with unresolved starts now waits as well, from two possible crashes on. A job whose crashes are certain is ended as before, after two. The limits are unchanged.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -46,9 +46,9 @@
 // Possible returns how many runners may have crashed under the task.
 func (r Record) Possible() int { return r.Crashes + r.Unresolved }
 
-// NeedsStablePool reports whether a long-running task should be started only while few
-// other runners crash, because what it has left of its starts must tell whether it
-// crashes its runners.
+// NeedsStablePool reports whether a task should be started only while few other runners
+// crash, because what it has left of its starts must tell whether it crashes its runners.
+// That holds for long-running tasks, and for others with unresolved starts.
 func (r Record) NeedsStablePool() bool { return r.Possible() >= MaxCrashes }
 
 // RestartsExhausted reports whether a long-running task must not be started again though
--- a/internal/crash/doc.go
+++ b/internal/crash/doc.go
@@ -24,7 +24,9 @@
 // that starts are sent to it which never arrive. A crash counts as one under a
 // task only if the runner had confirmed the start, by its reply or in a report.
 // Otherwise the start is unresolved: it may have crashed the runner, so that a
-// task is also given up after MaxPossibleCrashes of both kinds.
+// task is also given up after MaxPossibleCrashes of both kinds. The start that could be
+// the last of these waits until the pool loses few runners: in a burst of crashes starts
+// are lost of tasks that no runner has received.
 //
 // # Ordinary crashes
 //
--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -25,6 +25,8 @@
 	rnd   *rand.Rand
 	names int
 	down  map[runner.ID]clock.BootTime // until when
+	// lose is called for each start if runners crash before they confirm it.
+	lose func()
 }
 
 func newBurst(f *fixture, runners int) *burst {
@@ -62,6 +64,10 @@
 // runner that starts a task for which deadly returns true crashes.
 func (b *burst) step(deadly func(job.Task) bool) {
 	for _, c := range ofKind(b.plan(), StartRun) {
+		if b.lose != nil {
+			b.crash(c.To.ID)
+			b.lose()
+		}
 		if _, isDown := b.down[c.To.ID]; isDown {
 			b.loseReply(c)
 			continue
@@ -117,6 +123,33 @@
 	}
 }
 
+// TestBurstEndsBatchTask guards against a job that fails because its starts were lost with
+// their runners, which crashed with many others before they confirmed them.
+func TestBurstEndsBatchTask(t *testing.T) {
+	b := newBurst(newFixture(t, 1), 24)
+	b.run(4*time.Second, harmless)
+	id := b.job(1, job.Step{})
+	x := b.s.jobs[id].task(job.Task{Job: id})
+	lost := 0
+	b.lose = func() { lost++ }
+	for i := range 200 {
+		if up := b.up(); i%20 == 0 {
+			for _, k := range b.rnd.Perm(len(up))[:4] {
+				b.crash(up[k])
+			}
+		}
+		b.step(harmless)
+	}
+	if got := b.outcome(id); got != job.Open || lost == 0 {
+		t.Fatalf("outcome %v after %d lost starts, record %+v, want open", got, lost, x.crashes)
+	}
+	b.lose = nil
+	b.run(restartLimit, harmless)
+	if !x.live() {
+		t.Errorf("no run %v after the last crash, record %+v", restartLimit, x.crashes)
+	}
+}
+
 // TestUnknownStartsEndLongRunningTask guards against a long-running task that is
 // never started again because of starts of which nothing is known, though a single
 // runner crashed under it.
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -142,14 +142,17 @@
 	return t.step.spec.LongRunning && t.reserved == 0 && t.crashes.RestartsExhausted()
 }
 
-// awaitsStablePool reports whether a long-running task is not started yet, because its
-// pool loses runners that it may not have crashed.
+// awaitsStablePool reports whether a suspect is not started yet, because its pool loses
+// runners that it may not have crashed, and its next start may be its last.
 func (s *State) awaitsStablePool(t *task, now clock.BootTime) bool {
 	c := t.crashes
 	if t.reserved != 0 {
 		c.Unresolved-- // the count of the start that would wait
 	}
-	return t.step.spec.LongRunning && c.NeedsStablePool() && !s.isStable(s.service(t.job), now)
+	if !t.step.spec.LongRunning && c.Unresolved == 0 {
+		return false // it is given up for crashes that are certain
+	}
+	return c.NeedsStablePool() && !s.isStable(s.service(t.job), now)
 }
 
 // hasWorkingTask reports whether a long-running task of a job is at work on another
