sched: machines of long-running tasks are not scaled with batch demand

Callers got nothing from long-running tasks for 13.6 s after their runners crashed, though the fleet had the machines for them.

Cause: while the tasks waited for runners of the previous term, their machines were idle. A surge in another pool needed more than the whole fleet, and the needs of all pools were lowered in proportion: a pool that needs 28 machines, one for each task of a step with a limit of tasks per runner, gave 5 of them to the surge. The machines that came back were busy and took up to 6 s. Late batch work only loses time; a long-running task without its machine does not run.

The part of a need that long-running tasks and the base make is now kept; only what is beyond it is scaled, unless the fleet lacks machines for these parts themselves.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -19,6 +19,7 @@
 	// objective; target includes the late work.
 	timely, target int
 	needed         int // timely before it was scaled to the fleet
+	firm           int // of timely, those for long-running tasks and the base
 	unplaced       int // machines for long-running tasks that fit nowhere
 	idle           []*runnerState
 	busy           []*runnerState // without long-running tasks
@@ -59,14 +60,15 @@
 	}
 	ds := make([]*poolDemand, 0, len(byPool))
 	for name, d := range byPool {
-		d.timely, d.target = baseMachines, baseMachines
+		d.firm, d.timely, d.target = baseMachines, baseMachines, baseMachines
 		if d.maxCPU > 0 {
 			current, soon := s.desiredCPU(name, now)
-			d.timely = max(d.timely, d.machinesFor(current), s.longRunningMachines(d))
+			d.firm = max(d.firm, s.longRunningMachines(d))
 			d.unplaced = s.machinesForUnplaced(d)
 			if d.unplaced > 0 && len(d.idle) == 0 {
-				d.timely = max(d.timely, present[name]+d.unplaced)
+				d.firm = max(d.firm, present[name]+d.unplaced)
 			}
+			d.timely = max(d.firm, d.machinesFor(current))
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		d.needed = d.timely
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -148,23 +148,29 @@
 }
 
 // scaleToFleet lowers the timely demand of the pools if there are not enough
-// machines for all of them, in proportion to what each needs beyond the base.
+// machines for all of them, in proportion to what each needs beyond its firm part.
+// With fewer machines batch work is late, but a long-running task that needs one has
+// no run at all. The firm parts are lowered only if the fleet lacks machines for them.
 func (s *State) scaleToFleet(ds []*poolDemand) {
-	total, need := 0, 0
+	total, base, firm, need := 0, baseMachines*len(ds), 0, 0
 	for _, ms := range s.machineStates {
 		if ms.State != machine.Down {
 			total++
 		}
 	}
 	for _, d := range ds {
-		total -= baseMachines
-		need += max(d.timely-baseMachines, 0)
+		firm += d.firm
+		need += d.timely
 	}
-	if need <= total || total <= 0 {
+	if need <= total || total <= base {
 		return
 	}
 	for _, d := range ds {
-		d.timely = min(d.timely, baseMachines) + max(d.timely-baseMachines, 0)*total/need
+		if firm > total {
+			d.timely = baseMachines + (d.firm-baseMachines)*(total-base)/(firm-base)
+			continue
+		}
+		d.timely = d.firm + (d.timely-d.firm)*(total-firm)/(need-firm)
 	}
 }
 
