sched: long-running tasks get machines before batch work, and from it

A long-running task that fits nowhere waited while another pool had more batch work than the fleet has machines for.

Cause: a pool gives a machine only beyond its own timely need. Needs are scaled to the machines that are counted, among them those that are unreachable, in maintenance or on the move, so that no pool has more than its need until they are back. The pools with the largest shortage, mostly of batch work, also chose first among idle machines.

Machines are now planned for long-running tasks first, and a pool keeps only those of its own long-running tasks and the base while others need one for that.

TestLongRunningTaskInFullFleet: no machine moved to the pool before, one does now.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -19,7 +19,7 @@
 	// objective; target includes the late work.
 	timely, target int
 	needed         int // timely before it was scaled to the fleet
-	firm           int // of timely, those for long-running tasks and the base
+	longRunning    int // of timely, those for long-running tasks
 	unplaced       int // machines for long-running tasks that fit nowhere
 	idle           []*runnerState
 	busy           []*runnerState // without long-running tasks
@@ -60,15 +60,15 @@
 	}
 	ds := make([]*poolDemand, 0, len(byPool))
 	for name, d := range byPool {
-		d.firm, d.timely, d.target = baseMachines, baseMachines, baseMachines
+		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
 			current, soon := s.desiredCPU(name, now)
-			d.firm = max(d.firm, s.longRunningMachines(d))
+			d.longRunning = s.longRunningMachines(d)
 			d.unplaced = s.machinesForUnplaced(d)
 			if d.unplaced > 0 && len(d.idle) == 0 {
-				d.firm = max(d.firm, present[name]+d.unplaced)
+				d.longRunning = max(d.longRunning, present[name]+d.unplaced)
 			}
-			d.timely = max(d.firm, d.machinesFor(current))
+			d.timely = max(d.firm(), d.machinesFor(current))
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		d.needed = d.timely
@@ -83,6 +83,30 @@
 	return ds
 }
 
+// firm returns how many machines a pool needs for its long-running tasks and the base.
+func (d *poolDemand) firm() int { return max(baseMachines, d.longRunning) }
+
+// work is the work that machines are moved for.
+type work int
+
+const (
+	longRunningWork work = iota
+	timelyWork           // with the base, and the work that can still meet its objective
+	allWork              // with the late work
+)
+
+// kept returns how many machines a pool keeps while others need one for some work.
+func (d *poolDemand) kept(w work) int {
+	switch w {
+	case longRunningWork:
+		return min(d.firm(), d.timely)
+	case timelyWork:
+		return d.timely
+	case allWork:
+	}
+	return d.target
+}
+
 // machinesFor returns how many machines supply the given CPU.
 func (d *poolDemand) machinesFor(cpu int) int {
 	return int(math.Ceil(float64(cpu) / fillShare / float64(d.maxCPU)))
--- a/internal/sched/demand_test.go
+++ b/internal/sched/demand_test.go
@@ -1,10 +1,13 @@
 package sched
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 )
 
 // surge adds batch jobs to the pool "idle" that need more than the whole fleet.
@@ -14,7 +17,7 @@
 		{Name: "surge", Service: "idle", MaxAttempts: 3, Stretch: 2, Target: time.Second},
 	}, []*job.Service{{Name: "pool"}, {Name: "idle"}, {Name: "off", Standby: true}}, job.Limits{}))
 	for n := range 40 {
-		f.s.AddJob(&job.Job{ID: job.ID("surge" + string(rune('A'+n))), Queue: "surge", Service: "idle", Accepted: time.Unix(0, 0), Steps: []job.Step{
+		f.s.AddJob(&job.Job{ID: job.ID(fmt.Sprintf("5%015x", n)), Queue: "surge", Service: "idle", Accepted: time.Unix(0, 0), Steps: []job.Step{
 			{Count: 8, Resources: job.Resources{CPU: 1000, Mem: 100}, Estimate: 800 * time.Millisecond},
 		}}, 100, nil, 0, f.now, time.Unix(0, 0))
 	}
@@ -45,7 +48,7 @@
 // all others if the long-running tasks need more than the fleet.
 func TestLongRunningNeedsBeyondFleet(t *testing.T) {
 	s := newPoolFixture(t).s
-	ds := []*poolDemand{{pool: "a", firm: 40, timely: 50}, {pool: "b", firm: 10, timely: 10}, {pool: "c", firm: baseMachines, timely: 30}}
+	ds := []*poolDemand{{pool: "a", longRunning: 40, timely: 50}, {pool: "b", longRunning: 10, timely: 10}, {pool: "c", timely: 30}}
 	s.scaleToFleet(ds)
 	sum := 0
 	for _, d := range ds {
@@ -61,3 +64,31 @@
 		t.Errorf("pools have %d and %d machines, want more for the larger need", ds[0].timely, ds[1].timely)
 	}
 }
+
+// TestLongRunningTaskInFullFleet guards against a long-running task without a run,
+// because batch work of another pool needs more machines than the fleet has: one of
+// them is counted, and is unreachable.
+func TestLongRunningTaskInFullFleet(t *testing.T) {
+	f := newPoolFixture(t)
+	f.s.SetMachines(slices.DeleteFunc(machinesOf(f.s), func(m machine.Machine) bool { return m.Pool == "off" }), f.now)
+	f.job(1, job.Step{LongRunning: true, Count: 7, Resources: job.Resources{CPU: 100, Mem: 8000}})
+	f.settle(2)
+	f.s.PollFailed("idle7", f.now)
+	f.surge()
+	f.settle(2)
+	lasting := f.job(2, job.Step{LongRunning: true, Count: 2, Resources: job.Resources{CPU: 100, Mem: 8000}})
+	f.settle(2)
+	if n := f.waitingTasks(lasting); n != 1 {
+		t.Fatalf("%d tasks wait, want 1", n)
+	}
+	f.settle(2)
+	n := 0
+	for _, ms := range f.s.machineStates {
+		if ms.movingTo == "pool" {
+			n++
+		}
+	}
+	if n == 0 {
+		t.Error("no machine moves to the pool in which a task fits nowhere")
+	}
+}
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -8,25 +8,25 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 )
 
-// donor chooses a machine to move to a pool: an idle one of a pool that has
-// more than it needs, or a powered-off one. For timely work it may also be one
-// without long-running tasks, of a pool that needs it for late work.
-func (s *State) donor(ds []*poolDemand, to *poolDemand, timely bool, now clock.BootTime) *machineState {
+// donor chooses a machine to move to a pool for some work: an idle one of a pool that
+// has more than it keeps, or a powered-off one. Unless it is for late work, it may
+// also be a busy one without long-running tasks.
+func (s *State) donor(ds []*poolDemand, to *poolDemand, w work, now clock.BootTime) *machineState {
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d == to || d.machines <= d.target && (!timely || d.machines <= d.timely) {
+		if d == to || d.machines <= d.kept(w) {
 			continue
 		}
 		if ms := s.takeMovable(d, &d.idle, to.pool, now); ms != nil {
 			return ms
 		}
 	}
-	if ms := s.standbyMachine(to.pool, now); ms != nil || !timely {
+	if ms := s.standbyMachine(to.pool, now); ms != nil || w == allWork {
 		return ms
 	}
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d == to || d.machines <= d.timely+1 {
+		if d == to || d.machines <= d.kept(w)+1 {
 			continue
 		}
 		if ms := s.takeMovable(d, &d.busy, to.pool, now); ms != nil {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -92,19 +92,23 @@
 	s.powerOffUnusable(now)
 	ds := s.poolDemands(now)
 	s.scaleToFleet(ds)
-	for _, d := range ds {
-		for d.machines < d.timely {
-			ms := s.donor(ds, d, true, now)
-			if ms == nil {
-				break
-			}
-			s.planMove(ms, d.pool, now)
-			d.machines++
-		}
+	for _, w := range []work{longRunningWork, timelyWork, allWork} {
+		s.fill(ds, w, now)
 	}
+	s.shortage = slices.ContainsFunc(ds, func(d *poolDemand) bool { return d.machines < d.timely })
+	s.powerOffSurplus(ds, now)
+	s.logPools(ds, now)
+}
+
+// fill plans moves to the pools that have fewer machines than the work needs.
+func (s *State) fill(ds []*poolDemand, w work, now clock.BootTime) {
 	for _, d := range ds {
-		for d.machines < d.target {
-			ms := s.donor(ds, d, false, now)
+		need := d.kept(w)
+		if w == longRunningWork {
+			need = min(need, d.longRunning)
+		}
+		for d.machines < need {
+			ms := s.donor(ds, d, w, now)
 			if ms == nil {
 				break
 			}
@@ -112,9 +116,6 @@
 			d.machines++
 		}
 	}
-	s.shortage = slices.ContainsFunc(ds, func(d *poolDemand) bool { return d.machines < d.timely })
-	s.powerOffSurplus(ds, now)
-	s.logPools(ds, now)
 }
 
 // poolLogInterval is the time between two log lines about a pool.
@@ -159,7 +160,7 @@
 		}
 	}
 	for _, d := range ds {
-		firm += d.firm
+		firm += d.firm()
 		need += d.timely
 	}
 	if need <= total || total <= base {
@@ -167,10 +168,10 @@
 	}
 	for _, d := range ds {
 		if firm > total {
-			d.timely = baseMachines + (d.firm-baseMachines)*(total-base)/(firm-base)
+			d.timely = baseMachines + (d.firm()-baseMachines)*(total-base)/(firm-base)
 			continue
 		}
-		d.timely = d.firm + (d.timely-d.firm)*(total-firm)/(need-firm)
+		d.timely = d.firm() + (d.timely-d.firm())*(total-firm)/(need-firm)
 	}
 }
 
