sched: of the busy machines, move the one whose runs end soonest

A pool that needs a machine for a long-running task waited up to 3.7 s, 2.3 s on average over 13 machines, for the runs of the busy machine that was to move, though there were about 280 to choose from: the one with the least processor time in use was taken.

The machine is now chosen by the estimates of its runs; one that takes longer than its estimate may take as much longer again. The runners are sorted only if one is needed.

TestMachineWithLongRunsTaken: the machine with a run of 10 s was moved before, that with runs of 1 s is now.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -22,7 +22,8 @@
 	longRunning    int // of timely, those for long-running tasks
 	unplaced       int // machines for long-running tasks that fit nowhere
 	idle           []*runnerState
-	busy           []*runnerState // without long-running tasks
+	busy           []*runnerState // without long-running tasks; see sortBusy
+	busySorted     bool
 }
 
 // poolDemands returns the pools, those with the largest shortage first.
@@ -72,9 +73,6 @@
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		d.needed = d.timely
-		slices.SortFunc(d.busy, func(a, b *runnerState) int {
-			return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
-		})
 		ds = append(ds, d)
 	}
 	slices.SortFunc(ds, func(a, b *poolDemand) int {
--- a/internal/sched/demand_test.go
+++ b/internal/sched/demand_test.go
@@ -16,10 +16,13 @@
 		{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second},
 		{Name: "surge", Service: "idle", MaxAttempts: 3, Stretch: 2, Target: time.Second},
 	}, []*job.Service{{Name: "pool"}, {Name: "idle"}, {Name: "off", Standby: true}}, job.Limits{}))
-	for n := range 40 {
-		f.s.AddJob(&job.Job{ID: job.ID(fmt.Sprintf("5%015x", n)), Queue: "surge", Service: "idle", Accepted: time.Unix(0, 0), Steps: []job.Step{
-			{Count: 8, Resources: job.Resources{CPU: 1000, Mem: 100}, Estimate: 800 * time.Millisecond},
-		}}, 100, nil, 0, f.now, time.Unix(0, 0))
+	f.surgeOf(40, job.Step{Count: 8, Resources: job.Resources{CPU: 1000, Mem: 100}, Estimate: 800 * time.Millisecond})
+}
+
+func (f *fixture) surgeOf(jobs int, step job.Step) {
+	for range jobs {
+		id := job.ID(fmt.Sprintf("5%015x", len(f.s.jobs)))
+		f.s.AddJob(&job.Job{ID: id, Queue: "surge", Service: "idle", Accepted: time.Unix(0, 0), Steps: []job.Step{step}}, 100, nil, 0, f.now, time.Unix(0, 0))
 	}
 }
 
@@ -82,13 +85,41 @@
 		t.Fatalf("%d tasks wait, want 1", n)
 	}
 	f.settle(2)
-	n := 0
-	for _, ms := range f.s.machineStates {
-		if ms.movingTo == "pool" {
-			n++
+	if n := len(f.movingTo("pool")); n == 0 {
+		t.Error("no machine moves to the pool in which a task fits nowhere")
+	}
+}
+
+// movingTo returns the machines of which a move to a pool is planned.
+func (f *fixture) movingTo(pool string) []machine.ID {
+	var ids []machine.ID
+	for id, ms := range f.s.machineStates {
+		if ms.movingTo == pool {
+			ids = append(ids, id)
 		}
 	}
-	if n == 0 {
-		t.Error("no machine moves to the pool in which a task fits nowhere")
+	return ids
+}
+
+// TestMachineWithLongRunsTaken guards against a long-running task that waits for the
+// runs of the machine that is moved for it, though those of another one end sooner.
+func TestMachineWithLongRunsTaken(t *testing.T) {
+	f := newPoolFixture(t)
+	f.s.SetMachines(slices.DeleteFunc(machinesOf(f.s), func(m machine.Machine) bool { return m.Pool == "off" }), f.now)
+	whole := job.Resources{CPU: 100, Mem: 8000}
+	f.job(1, job.Step{LongRunning: true, Count: 7, Resources: whole})
+	f.surgeOf(7, job.Step{Count: 1, Resources: whole, Estimate: 10 * time.Second})
+	f.settle(2)
+	f.surgeOf(1, job.Step{Count: 4, Resources: job.Resources{CPU: 1000, Mem: 100}, Estimate: time.Second})
+	f.settle(2)
+	f.job(2, job.Step{LongRunning: true, Count: 1, Resources: whole})
+	f.settle(2)
+	if n := len(f.movingTo("pool")); n != 1 {
+		t.Fatalf("%d machines move to the pool, want 1", n)
+	}
+	for _, id := range f.movingTo("pool") {
+		if n := len(f.s.runnerOf(id).runs); n != 4 {
+			t.Errorf("machine %s moves with %d runs that take 10 s, want that with runs that take 1 s", id, n)
+		}
 	}
 }
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
@@ -29,6 +30,7 @@
 		if d == to || d.machines <= d.kept(w)+1 {
 			continue
 		}
+		d.sortBusy(now)
 		if ms := s.takeMovable(d, &d.busy, to.pool, now); ms != nil {
 			return ms
 		}
@@ -36,6 +38,32 @@
 	return nil
 }
 
+// sortBusy orders the busy runners by when their runs are expected to have ended,
+// because a machine moves only then.
+func (d *poolDemand) sortBusy(now clock.BootTime) {
+	if d.busySorted {
+		return
+	}
+	d.busySorted = true
+	left := make(map[*runnerState]time.Duration, len(d.busy))
+	for _, rs := range d.busy {
+		left[rs] = rs.busyFor(now)
+	}
+	slices.SortFunc(d.busy, func(a, b *runnerState) int {
+		return cmp.Or(cmp.Compare(left[a], left[b]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// busyFor returns for how long the runs on a runner are expected to go on. One that
+// takes longer than its estimate may take as much longer again.
+func (rs *runnerState) busyFor(now clock.BootTime) time.Duration {
+	var longest time.Duration
+	for _, r := range rs.runs {
+		longest = max(longest, r.scheduledAt.Add(r.task.step.spec.Estimate).Sub(now).Abs())
+	}
+	return longest
+}
+
 // takeMovable removes a movable machine from a list of runners of a pool and
 // returns it, or nil.
 func (s *State) takeMovable(d *poolDemand, runners *[]*runnerState, to string, now clock.BootTime) *machineState {
