sched: machines that moved away do not hold up a wave

A wave that is not urgent takes no machine of a pool of which a third is away. A runner whose machine has moved to another pool stays on record until its entry is removed, some seconds later, and counted as away: after a surge in another pool, no machine of a pool that had given it many was taken.

Runners whose machine is in another pool, or has another runner, no longer count. Those in maintenance do.

TestWaveCountsMovedMachines: no machine was drained with 3 of 5 moved away before, one is now; none with 3 of 5 in maintenance, as before.

--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -252,6 +252,14 @@
 	return nil
 }
 
+// hasLeft reports whether a runner that has ended is no longer missed in its pool: its
+// machine is in another one, or has another runner.
+func (s *State) hasLeft(rs *runnerState) bool {
+	id := machine.ID(rs.Machine)
+	ms := s.machineStates[id]
+	return rs.ended && (ms != nil && ms.Pool != rs.Service || s.runnerOf(id) != rs)
+}
+
 // planMove plans the move of a machine.
 func (s *State) planMove(ms *machineState, to string, now clock.BootTime) {
 	ms.movingTo, ms.sent, ms.fromRunner, ms.fromIncarnation = to, false, "", 0
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -235,6 +235,9 @@
 func (s *State) nextMaintenance(w *wave, now clock.BootTime) *maintenance {
 	taken, all := make(map[string]int), make(map[string]int)
 	for _, rs := range s.runners {
+		if s.hasLeft(rs) {
+			continue
+		}
 		all[rs.Service]++
 		if rs.cordoned || !rs.replied || rs.unreachable {
 			taken[rs.Service]++
--- a/internal/sched/wave_test.go
+++ b/internal/sched/wave_test.go
@@ -299,3 +299,26 @@
 		}
 	}
 }
+
+// TestWaveCountsMovedMachines guards against a wave that waits because machines have
+// moved to other pools: the entries of their runners remain for some seconds. Those
+// that are in maintenance count.
+func TestWaveCountsMovedMachines(t *testing.T) {
+	for pool, want := range map[string]bool{"other": true, "pool": false} {
+		t.Run(pool, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.runner("a", "b", "c", "d", "e")
+			var machines []machine.Machine
+			for _, id := range []runner.ID{"c", "d", "e"} {
+				f.s.endMachineCommand(f.s.runners[id], machineMoved, f.now)
+				machines = append(machines, machine.Machine{ID: machine.ID("m-" + id), Pool: pool})
+			}
+			f.s.SetMachines(machines, f.now)
+			f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+			f.plan()
+			if got := f.s.runners["a"].cordoned; got != want {
+				t.Errorf("machine drained: %t, want %t", got, want)
+			}
+		})
+	}
+}
