sched: an idle runner that takes no task is no room for long-running ones

A pool in which a long-running task fits nowhere got no machine for it while it had an idle runner, although that one was quarantined, for three to six seconds, or isolated for the suspects of another job.

TestIdleRunnerTakesNoTask: no machine moved to the pool before, one does now.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -66,7 +66,7 @@
 			current, soon := s.desiredCPU(name, now)
 			d.longRunning = s.longRunningMachines(d)
 			d.unplaced = s.machinesForUnplaced(d)
-			if d.unplaced > 0 && len(d.idle) == 0 {
+			if d.unplaced > 0 && !slices.ContainsFunc(d.idle, func(rs *runnerState) bool { return rs.takesRuns(now) }) {
 				d.longRunning = max(d.longRunning, present[name]+d.unplaced)
 			}
 			d.timely = max(d.firm(), d.machinesFor(current))
@@ -81,6 +81,12 @@
 	return ds
 }
 
+// takesRuns reports whether runs of any job may be started on a runner once it is
+// usable. It may have arrived just now.
+func (rs *runnerState) takesRuns(now clock.BootTime) bool {
+	return rs.isolated == nil && rs.health.allows(now, rs.probes())
+}
+
 // firm returns how many machines a pool needs for its long-running tasks and the base.
 func (d *poolDemand) firm() int { return max(baseMachines, d.longRunning) }
 
--- a/internal/sched/demand_test.go
+++ b/internal/sched/demand_test.go
@@ -123,3 +123,24 @@
 		}
 	}
 }
+
+// TestIdleRunnerTakesNoTask guards against a long-running task that waits without a
+// new machine, because its pool has an idle runner on which it may not be started.
+func TestIdleRunnerTakesNoTask(t *testing.T) {
+	for name, rule := range map[string]func(f *fixture, rs *runnerState){
+		"quarantined": func(f *fixture, rs *runnerState) { rs.health.quarantinedUntil = f.now.Add(maxQuarantine) },
+		"isolated":    func(f *fixture, rs *runnerState) { rs.isolated = f.s.jobs[f.job(9, job1)] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newPoolFixture(t)
+			f.job(1, job.Step{LongRunning: true, Count: 4, Resources: job.Resources{CPU: 100, Mem: 8000}})
+			f.settle(2)
+			rule(f, f.s.byPool["pool"][slices.IndexFunc(f.s.byPool["pool"], func(rs *runnerState) bool { return len(rs.runs) == 0 })])
+			f.job(2, job.Step{LongRunning: true, Count: 4, PerRunner: 1, Resources: job.Resources{CPU: 100, Mem: 1}})
+			f.settle(2)
+			if n := len(f.movingTo("pool")); n != 1 {
+				t.Errorf("%d machines move to the pool, want 1", n)
+			}
+		})
+	}
+}
