sched: count the machines that long-running tasks occupy and those that wait need

Cause: what long-running tasks need is estimated from their definitions, as if they filled machines completely. That tasks fit nowhere was counted only once they could be started; while they waited for runners of the previous term, their idle machines left.

A pool now also keeps the machines with long-running tasks on them, and those for the tasks without a run that do not fit there, whatever these wait for. This is counted when runners are held. For several steps with a limit, one machine takes a task of each.

--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -36,7 +36,7 @@
 	}
 	for _, rs := range s.runners {
 		d := byPool[rs.Service]
-		if d == nil || rs.ended || rs.cordoned || rs.withheld != 0 || !rs.replied || rs.unreachable || rs.Draining || !rs.registered {
+		if d == nil || !rs.present() {
 			continue
 		}
 		d.machines++
@@ -64,8 +64,8 @@
 		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
 			current, soon := s.desiredCPU(name, now)
-			d.longRunning = s.longRunningMachines(d)
-			d.unplaced = s.machinesForUnplaced(d)
+			d.longRunning = max(s.longRunningMachines(d), s.machinesInUse(d))
+			d.unplaced = s.machinesForTasks(d, s.unplaced)
 			if d.unplaced > 0 && !slices.ContainsFunc(d.idle, func(rs *runnerState) bool { return rs.takesRuns(now) }) {
 				d.longRunning = max(d.longRunning, present[name]+d.unplaced)
 			}
@@ -87,6 +87,11 @@
 	return rs.isolated == nil && rs.health.allows(now, rs.probes())
 }
 
+// present reports whether the machine of a runner counts as one of its pool.
+func (rs *runnerState) present() bool {
+	return rs.replied && rs.registered && !rs.ended && !rs.cordoned && rs.withheld == 0 && !rs.unreachable && !rs.Draining
+}
+
 // firm returns how many machines a pool needs for its long-running tasks and the base.
 func (d *poolDemand) firm() int { return max(baseMachines, d.longRunning) }
 
@@ -142,20 +147,21 @@
 	return machines + 1
 }
 
-// machinesForUnplaced returns how many more machines the long-running tasks of a pool
-// need that fit nowhere. A machine may lack the label of a step.
-func (s *State) machinesForUnplaced(d *poolDemand) int {
-	total := 0 // in thousandths, since the order of a map changes a sum of fractions
-	for st, tasks := range s.unplaced {
-		n := d.tasksPerMachine(st.spec.Demand())
-		if st.spec.PerRunner > 0 {
-			n = min(n, st.spec.PerRunner)
+// machinesForTasks returns how many more machines the given numbers of long-running
+// tasks need. A machine may lack the label of a step.
+func (s *State) machinesForTasks(d *poolDemand, tasks map[*step]int) int {
+	spread, total := 0, 0 // total is in thousandths, since the order of a map changes a sum of fractions
+	for st, n := range tasks {
+		per := d.tasksPerMachine(st.spec.Demand())
+		if n == 0 || per == 0 || st.spec.Label != "" || s.service(st.occ.job) != d.pool {
+			continue
 		}
-		if n > 0 && st.spec.Label == "" && s.service(st.occ.job) == d.pool {
-			total += tasks * 1000 / n
+		total += n * 1000 / per
+		if limit := st.spec.PerRunner; limit > 0 {
+			spread = max(spread, (n+limit-1)/limit)
 		}
 	}
-	return (total + 999) / 1000
+	return max(spread, (total+999)/1000)
 }
 
 // tasksPerMachine returns how many tasks of a demand the largest machine takes.
--- a/internal/sched/demand_test.go
+++ b/internal/sched/demand_test.go
@@ -8,6 +8,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // surge adds batch jobs to the pool "idle" that need more than the whole fleet.
@@ -47,6 +48,32 @@
 	}
 }
 
+// TestMachinesOfWaitingTasksLeave guards against a pool that gives away the machines
+// of tasks that may not be started yet, because it should need fewer: tasks that run
+// leave no room for them on the others.
+func TestMachinesOfWaitingTasksLeave(t *testing.T) {
+	f := newPoolFixture(t)
+	f.s.Term = 200
+	const n = 4
+	var names []string
+	for i := range n {
+		names = append(names, job.Task{Job: "0000000000000002", Index: i}.String())
+	}
+	f.s.InheritRoster([]RosterEntry{{ID: "previous", Closed: true, Remaining: 10 * time.Second, Tasks: names}})
+	f.s.RosterStored(f.s.Roster(f.now, false))
+	f.job(1, job.Step{LongRunning: true, Count: n, Resources: job.Resources{CPU: 100, Mem: 8000}})
+	f.settle(2)
+	lasting := f.job(2, job.Step{LongRunning: true, Count: n, PerRunner: 1, Resources: job.Resources{CPU: 100, Mem: 1}})
+	f.settle(8) // until the runners to hold are chosen again
+	f.surge()
+	f.settle(2)
+	f.s.inherited = make(map[runner.ID]*inherited)
+	f.settle(2)
+	if n := f.waitingTasks(lasting); n > 0 {
+		t.Errorf("%d tasks wait", n)
+	}
+}
+
 // TestLongRunningNeedsBeyondFleet guards against a pool that takes the machines of
 // all others if the long-running tasks need more than the fleet.
 func TestLongRunningNeedsBeyondFleet(t *testing.T) {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -24,9 +24,12 @@
 	maxHoldInterval = holdTime / 2
 )
 
-// addWaiting counts the long-running tasks that have no run and fit nowhere.
+// addWaiting counts the long-running tasks that have no run: those that fit nowhere,
+// and what all of them need.
 func (s *State) addWaiting(now clock.BootTime) {
+	clear(s.needs)
 	for pool, jobs := range s.open {
+		var steps []*step
 		for _, js := range jobs {
 			if !js.def.LongRunning() {
 				continue
@@ -35,10 +38,14 @@
 				for _, st := range o.steps {
 					if st.idle > 0 && st.spec.LongRunning && !st.spec.Gang && o.ready(st) {
 						s.unplaced[st] += s.waitingForRoom(pool, st, now)
+						steps = append(steps, st)
 					}
 				}
 			}
 		}
+		if len(steps) > 0 {
+			s.needs[pool] = s.longRunningNeed(pool, steps, now)
+		}
 	}
 }
 
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -77,6 +77,7 @@
 	maintained     map[machine.ID]bool         // see indexMaintenances
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
+	needs          map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
 	heldAt         clock.BootTime              // when that was
 	standby        []*machineState             // see indexStandby
 	suspected      map[*jobState]bool          // open jobs that may have suspects
@@ -98,7 +99,7 @@
 		Term: t, Limits: l, Logger: logger, startedAt: now, inputCurrentAt: now,
 		jobs: make(map[job.ID]*jobState), open: make(map[string][]*jobState),
 		runners: make(map[runner.ID]*runnerState), byMachine: make(map[machine.ID]*runnerState), byPool: make(map[string][]*runnerState), usableByPool: make(map[string][]*runnerState), inherited: make(map[runner.ID]*inherited), rostered: make(map[runner.ID]bool),
-		waves: make(map[int]*wave), inheritedDues: make(map[int]time.Time), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), leaving: make(map[*step]int), unplaced: make(map[*step]int), suspected: make(map[*jobState]bool), losses: make(map[string][]clock.BootTime), unstable: make(map[string]bool), unstableAt: make(map[string]clock.BootTime), lastCommandEnd: make(map[machine.ID]clock.BootTime),
+		waves: make(map[int]*wave), inheritedDues: make(map[int]time.Time), machineStates: make(map[machine.ID]*machineState), arrivals: make(map[string]arrival), intents: make(map[machine.ID]Intent), maintained: make(map[machine.ID]bool), leaving: make(map[*step]int), unplaced: make(map[*step]int), needs: make(map[string]longRunningNeed), suspected: make(map[*jobState]bool), losses: make(map[string][]clock.BootTime), unstable: make(map[string]bool), unstableAt: make(map[string]clock.BootTime), lastCommandEnd: make(map[machine.ID]clock.BootTime),
 	}
 }
 
