sched: log how many machines of a pool are for long-running tasks

pool planned has long_running, the part of needed that is not scaled with batch demand. Without it the log does not tell why a pool keeps idle machines in a surge.

--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -128,7 +128,7 @@
 	}
 	s.poolsLoggedAt = now
 	for _, d := range ds {
-		s.Logger.Log("msg", "pool planned", "pool", d.pool, "machines", d.machines, "timely", d.timely, "needed", d.needed, "unplaced", d.unplaced, "target", d.target,
+		s.Logger.Log("msg", "pool planned", "pool", d.pool, "machines", d.machines, "timely", d.timely, "needed", d.needed, "long_running", d.longRunning, "unplaced", d.unplaced, "target", d.target,
 			"idle", len(d.idle), "jobs", len(s.open[d.pool]), "listed", now.Sub(s.listedAt))
 	}
 }
