sched: look at room before the other conditions when machines in use are counted

Counting the machines that long-running tasks need examined all conditions of each occupied runner for each waiting step.

The demand is compared first.

--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -25,10 +25,10 @@
 // longRunningNeed returns the need of a pool in which long-running tasks of the given
 // steps have no run.
 func (s *State) longRunningNeed(pool string, steps []*step, now clock.BootTime) longRunningNeed {
-	var occupied []*heldRunner
+	var occupied []heldRunner
 	for _, rs := range s.byPool[pool] {
 		if rs.present() && (rs.longRunning > 0 || len(rs.keptFor) > 0) {
-			occupied = append(occupied, &heldRunner{runnerState: rs, left: rs.free()})
+			occupied = append(occupied, heldRunner{runnerState: rs, left: rs.free()})
 		}
 	}
 	need := longRunningNeed{occupied: len(occupied), tasks: make(map[*step]int)}
@@ -39,19 +39,21 @@
 				n++
 			}
 		}
-		for _, h := range occupied {
+		d := st.spec.Demand()
+		for i := range occupied {
+			h := &occupied[i]
 			if n == 0 {
 				break
 			}
-			if !s.couldTake(h.runnerState, st, now) {
+			if !d.Fits(h.left) || !s.couldTake(h.runnerState, st, now) {
 				continue
 			}
 			room := n
 			if st.spec.PerRunner > 0 {
 				room = min(room, st.spec.PerRunner-runsOfStep(h.runnerState, st.tasks[0]))
 			}
-			for ; room > 0 && st.spec.Demand().Fits(h.left); room-- {
-				h.left = h.left.Sub(st.spec.Demand())
+			for ; room > 0 && d.Fits(h.left); room-- {
+				h.left = h.left.Sub(d)
 				n--
 			}
 		}
