sched: a powered-off machine shows that its former runner has ended

Cause: a new leader waits for a runner of an earlier term until two lists of machines do not name it. A machine that is up without a runner may have one that is not named yet, so that it kept the wait going. Machines of a standby pool are listed in the same way for as long as they are off: the leader had powered off the idle machine of the ended runner itself (m-759d1 and m-8d65f, 13.9 and 14.1 s; moved to another pool at 18.7, the entries ended at 20.8 and 19.9 s; others at 15.7 and 15.8 s).

A machine of a standby pool no longer counts as up without a name.

TestWaitForPoweredOffMachine: no start within 8 s before.

--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -93,7 +93,7 @@
 func (s *State) indexStandby() {
 	s.standby = s.standby[:0]
 	for _, ms := range s.machineStates {
-		if svc := s.cfg.Services[ms.Pool]; svc != nil && svc.Standby && ms.movingTo == "" {
+		if s.isStandby(ms.Pool) && ms.movingTo == "" {
 			s.standby = append(s.standby, ms)
 		}
 	}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -165,10 +165,10 @@
 		return
 	}
 	listed := make(map[runner.ID]bool, len(machines))
-	unnamed := make(map[machine.ID]bool) // machines that are up without a runner
+	unnamed := make(map[machine.ID]bool) // machines that are up without a runner, and not powered off
 	for i := range machines {
 		listed[machines[i].Runner] = true
-		if machines[i].State == machine.Up && machines[i].Runner == "" {
+		if machines[i].State == machine.Up && machines[i].Runner == "" && !s.isStandby(machines[i].Pool) {
 			unnamed[machines[i].ID] = true
 		}
 	}
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -494,3 +494,19 @@
 		t.Errorf("started after %d s, though m-a is listed as up without a runner", got)
 	}
 }
+
+// TestWaitForPoweredOffMachine guards against long-running tasks that wait over 9 s
+// because the machine of a runner of the previous term is powered off: it is up
+// without a runner for good. On leaders-lost-in-turn, seeds 1 and 3, LOST was broken.
+func TestWaitForPoweredOffMachine(t *testing.T) {
+	f, _ := lostRunner(t)
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+		[]*job.Service{{Name: "pool"}, {Name: "off", Standby: true}}, job.Limits{}))
+	got := f.startAfter(8, func(int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		return []machine.Machine{{ID: "m-a", Pool: "off", State: machine.Up}, {ID: "m-b", Pool: "pool", Runner: "b"}}
+	})
+	if got == 0 {
+		t.Error("no start within 8 s")
+	}
+}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -203,6 +203,11 @@
 	}
 }
 
+// isStandby reports whether the machines of a pool are powered off.
+func (s *State) isStandby(pool string) bool {
+	return s.cfg != nil && s.cfg.Services[pool] != nil && s.cfg.Services[pool].Standby
+}
+
 // standbyPool returns the pool of powered-off machines, or an empty name.
 func (s *State) standbyPool() string {
 	name := ""
@@ -227,7 +232,7 @@
 	switch {
 	case ms.sent:
 		// A powered-off machine has no runner that would show its arrival.
-		if svc := s.cfg.Services[ms.movingTo]; svc != nil && svc.Standby && now.Sub(ms.since) > s.Limits.MoveTime+noRunnerTimeout {
+		if s.isStandby(ms.movingTo) && now.Sub(ms.since) > s.Limits.MoveTime+noRunnerTimeout {
 			ms.movingTo, ms.sent, ms.since = "", false, now
 		} else if rs != nil && rs.Service == ms.movingTo && rs.Incarnation > ms.fromIncarnation {
 			s.Logger.Log("msg", "machine moved", "machine", ms.ID, "pool", ms.movingTo, "runner", rs.ID, "took", now.Sub(ms.since))
