--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -19,9 +19,11 @@
 	// objective; target includes the late work.
 	timely, target int
 	needed         int // timely before it was scaled to the fleet
+	longRunning    int // of timely, those for long-running tasks
 	unplaced       int // machines for long-running tasks that fit nowhere
 	idle           []*runnerState
-	busy           []*runnerState // without long-running tasks
+	busy           []*runnerState // without long-running tasks; see sortBusy
+	busySorted     bool
 }
 
 // poolDemands returns the pools, those with the largest shortage first.
@@ -34,7 +36,7 @@
 	}
 	for _, rs := range s.runners {
 		d := byPool[rs.Service]
-		if d == nil || rs.ended || rs.cordoned || rs.withheld != 0 || !rs.replied || rs.unreachable || rs.Draining || !rs.registered {
+		if d == nil || !rs.present() {
 			continue
 		}
 		d.machines++
@@ -62,17 +64,15 @@
 		d.timely, d.target = baseMachines, baseMachines
 		if d.maxCPU > 0 {
 			current, soon := s.desiredCPU(name, now)
-			d.timely = max(d.timely, d.machinesFor(current), s.longRunningMachines(d))
-			d.unplaced = s.machinesForUnplaced(d)
-			if d.unplaced > 0 && len(d.idle) == 0 {
-				d.timely = max(d.timely, present[name]+d.unplaced)
+			d.longRunning = max(s.longRunningMachines(d), s.machinesInUse(d))
+			d.unplaced = s.machinesForTasks(d, s.unplaced)
+			if d.unplaced > 0 && !slices.ContainsFunc(d.idle, func(rs *runnerState) bool { return rs.takesRuns(now) }) {
+				d.longRunning = max(d.longRunning, present[name]+d.unplaced)
 			}
+			d.timely = max(d.firm(), d.machinesFor(current))
 			d.target = max(d.timely, d.machinesFor(soon))
 		}
 		d.needed = d.timely
-		slices.SortFunc(d.busy, func(a, b *runnerState) int {
-			return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
-		})
 		ds = append(ds, d)
 	}
 	slices.SortFunc(ds, func(a, b *poolDemand) int {
@@ -81,6 +81,41 @@
 	return ds
 }
 
+// takesRuns reports whether runs of any job may be started on a runner once it is
+// usable. It may have arrived just now.
+func (rs *runnerState) takesRuns(now clock.BootTime) bool {
+	return rs.isolated == nil && rs.health.allows(now, rs.probes())
+}
+
+// present reports whether the machine of a runner counts as one of its pool.
+func (rs *runnerState) present() bool {
+	return rs.replied && rs.registered && !rs.ended && !rs.cordoned && rs.withheld == 0 && !rs.unreachable && !rs.Draining
+}
+
+// firm returns how many machines a pool needs for its long-running tasks and the base.
+func (d *poolDemand) firm() int { return max(baseMachines, d.longRunning) }
+
+// work is the work that machines are moved for.
+type work int
+
+const (
+	longRunningWork work = iota
+	timelyWork           // with the base, and the work that can still meet its objective
+	allWork              // with the late work
+)
+
+// kept returns how many machines a pool keeps while others need one for some work.
+func (d *poolDemand) kept(w work) int {
+	switch w {
+	case longRunningWork:
+		return min(d.firm(), d.timely)
+	case timelyWork:
+		return d.timely
+	case allWork:
+	}
+	return d.target
+}
+
 // machinesFor returns how many machines supply the given CPU.
 func (d *poolDemand) machinesFor(cpu int) int {
 	return int(math.Ceil(float64(cpu) / fillShare / float64(d.maxCPU)))
@@ -112,20 +147,21 @@
 	return machines + 1
 }
 
-// machinesForUnplaced returns how many more machines the long-running tasks of a pool
-// need that fit nowhere. A machine may lack the label of a step.
-func (s *State) machinesForUnplaced(d *poolDemand) int {
-	total := 0 // in thousandths, since the order of a map changes a sum of fractions
-	for st, tasks := range s.unplaced {
-		n := d.tasksPerMachine(st.spec.Demand())
-		if st.spec.PerRunner > 0 {
-			n = min(n, st.spec.PerRunner)
+// machinesForTasks returns how many more machines the given numbers of long-running
+// tasks need. A machine may lack the label of a step.
+func (s *State) machinesForTasks(d *poolDemand, tasks map[*step]int) int {
+	spread, total := 0, 0 // total is in thousandths, since the order of a map changes a sum of fractions
+	for st, n := range tasks {
+		per := d.tasksPerMachine(st.spec.Demand())
+		if n == 0 || per == 0 || st.spec.Label != "" || s.service(st.occ.job) != d.pool {
+			continue
 		}
-		if n > 0 && st.spec.Label == "" && s.service(st.occ.job) == d.pool {
-			total += tasks * 1000 / n
+		total += n * 1000 / per
+		if limit := st.spec.PerRunner; limit > 0 {
+			spread = max(spread, (n+limit-1)/limit)
 		}
 	}
-	return (total + 999) / 1000
+	return max(spread, (total+999)/1000)
 }
 
 // tasksPerMachine returns how many tasks of a demand the largest machine takes.
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -3,32 +3,34 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 )
 
-// donor chooses a machine to move to a pool: an idle one of a pool that has
-// more than it needs, or a powered-off one. For timely work it may also be one
-// without long-running tasks, of a pool that needs it for late work.
-func (s *State) donor(ds []*poolDemand, to *poolDemand, timely bool, now clock.BootTime) *machineState {
+// donor chooses a machine to move to a pool for some work: an idle one of a pool that
+// has more than it keeps, or a powered-off one. Unless it is for late work, it may
+// also be a busy one without long-running tasks.
+func (s *State) donor(ds []*poolDemand, to *poolDemand, w work, now clock.BootTime) *machineState {
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d == to || d.machines <= d.target && (!timely || d.machines <= d.timely) {
+		if d == to || d.machines <= d.kept(w) {
 			continue
 		}
 		if ms := s.takeMovable(d, &d.idle, to.pool, now); ms != nil {
 			return ms
 		}
 	}
-	if ms := s.standbyMachine(to.pool, now); ms != nil || !timely {
+	if ms := s.standbyMachine(to.pool, now); ms != nil || w == allWork {
 		return ms
 	}
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
-		if d == to || d.machines <= d.timely+1 {
+		if d == to || d.machines <= d.kept(w)+1 {
 			continue
 		}
+		d.sortBusy(now)
 		if ms := s.takeMovable(d, &d.busy, to.pool, now); ms != nil {
 			return ms
 		}
@@ -36,6 +38,32 @@
 	return nil
 }
 
+// sortBusy orders the busy runners by when their runs are expected to have ended,
+// because a machine moves only then.
+func (d *poolDemand) sortBusy(now clock.BootTime) {
+	if d.busySorted {
+		return
+	}
+	d.busySorted = true
+	left := make(map[*runnerState]time.Duration, len(d.busy))
+	for _, rs := range d.busy {
+		left[rs] = rs.busyFor(now)
+	}
+	slices.SortFunc(d.busy, func(a, b *runnerState) int {
+		return cmp.Or(cmp.Compare(left[a], left[b]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// busyFor returns for how long the runs on a runner are expected to go on. One that
+// takes longer than its estimate may take as much longer again.
+func (rs *runnerState) busyFor(now clock.BootTime) time.Duration {
+	var longest time.Duration
+	for _, r := range rs.runs {
+		longest = max(longest, r.scheduledAt.Add(r.task.step.spec.Estimate).Sub(now).Abs())
+	}
+	return longest
+}
+
 // takeMovable removes a movable machine from a list of runners of a pool and
 // returns it, or nil.
 func (s *State) takeMovable(d *poolDemand, runners *[]*runnerState, to string, now clock.BootTime) *machineState {
@@ -65,7 +93,7 @@
 func (s *State) indexStandby() {
 	s.standby = s.standby[:0]
 	for _, ms := range s.machineStates {
-		if svc := s.cfg.Services[ms.Pool]; svc != nil && svc.Standby && ms.movingTo == "" {
+		if s.isStandby(ms.Pool) && ms.movingTo == "" {
 			s.standby = append(s.standby, ms)
 		}
 	}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -24,9 +24,12 @@
 	maxHoldInterval = holdTime / 2
 )
 
-// addWaiting counts the long-running tasks that have no run and fit nowhere.
+// addWaiting counts the long-running tasks that have no run: those that fit nowhere,
+// and what all of them need.
 func (s *State) addWaiting(now clock.BootTime) {
+	clear(s.needs)
 	for pool, jobs := range s.open {
+		var steps []*step
 		for _, js := range jobs {
 			if !js.def.LongRunning() {
 				continue
@@ -35,10 +38,14 @@
 				for _, st := range o.steps {
 					if st.idle > 0 && st.spec.LongRunning && !st.spec.Gang && o.ready(st) {
 						s.unplaced[st] += s.waitingForRoom(pool, st, now)
+						steps = append(steps, st)
 					}
 				}
 			}
 		}
+		if len(steps) > 0 {
+			s.needs[pool] = s.longRunningNeed(pool, steps, now)
+		}
 	}
 }
 
@@ -61,7 +68,7 @@
 
 // couldTake reports whether a runner may be given a task of a step once it has room.
 func (s *State) couldTake(rs *runnerState, st *step, now clock.BootTime) bool {
-	return s.usable(rs, now) && rs.health.allows(now, rs.probes()) && (st.permits.denied[rs.ID] == 0 || s.permitted(rs, st, now)) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
+	return s.usable(rs, now) && (rs.isolated == nil || rs.isolated == st.occ.job) && rs.health.allows(now, rs.probes()) && (st.permits.denied[rs.ID] == 0 || s.permitted(rs, st, now)) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
 }
 
 // holdRunners keeps batch tasks off some runners of the pools in which
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -92,19 +92,23 @@
 	s.powerOffUnusable(now)
 	ds := s.poolDemands(now)
 	s.scaleToFleet(ds)
-	for _, d := range ds {
-		for d.machines < d.timely {
-			ms := s.donor(ds, d, true, now)
-			if ms == nil {
-				break
-			}
-			s.planMove(ms, d.pool, now)
-			d.machines++
-		}
+	for _, w := range []work{longRunningWork, timelyWork, allWork} {
+		s.fill(ds, w, now)
 	}
+	s.shortage = slices.ContainsFunc(ds, func(d *poolDemand) bool { return d.machines < d.timely })
+	s.powerOffSurplus(ds, now)
+	s.logPools(ds, now)
+}
+
+// fill plans moves to the pools that have fewer machines than the work needs.
+func (s *State) fill(ds []*poolDemand, w work, now clock.BootTime) {
 	for _, d := range ds {
-		for d.machines < d.target {
-			ms := s.donor(ds, d, false, now)
+		need := d.kept(w)
+		if w == longRunningWork {
+			need = min(need, d.longRunning)
+		}
+		for d.machines < need {
+			ms := s.donor(ds, d, w, now)
 			if ms == nil {
 				break
 			}
@@ -112,9 +116,6 @@
 			d.machines++
 		}
 	}
-	s.shortage = slices.ContainsFunc(ds, func(d *poolDemand) bool { return d.machines < d.timely })
-	s.powerOffSurplus(ds, now)
-	s.logPools(ds, now)
 }
 
 // poolLogInterval is the time between two log lines about a pool.
@@ -127,7 +128,7 @@
 	}
 	s.poolsLoggedAt = now
 	for _, d := range ds {
-		s.Logger.Log("msg", "pool planned", "pool", d.pool, "machines", d.machines, "timely", d.timely, "needed", d.needed, "unplaced", d.unplaced, "target", d.target,
+		s.Logger.Log("msg", "pool planned", "pool", d.pool, "machines", d.machines, "timely", d.timely, "needed", d.needed, "long_running", d.longRunning, "unplaced", d.unplaced, "target", d.target,
 			"idle", len(d.idle), "jobs", len(s.open[d.pool]), "listed", now.Sub(s.listedAt))
 	}
 }
@@ -148,23 +149,29 @@
 }
 
 // scaleToFleet lowers the timely demand of the pools if there are not enough
-// machines for all of them, in proportion to what each needs beyond the base.
+// machines for all of them, in proportion to what each needs beyond its firm part.
+// With fewer machines batch work is late, but a long-running task that needs one has
+// no run at all. The firm parts are lowered only if the fleet lacks machines for them.
 func (s *State) scaleToFleet(ds []*poolDemand) {
-	total, need := 0, 0
+	total, base, firm, need := 0, baseMachines*len(ds), 0, 0
 	for _, ms := range s.machineStates {
 		if ms.State != machine.Down {
 			total++
 		}
 	}
 	for _, d := range ds {
-		total -= baseMachines
-		need += max(d.timely-baseMachines, 0)
+		firm += d.firm()
+		need += d.timely
 	}
-	if need <= total || total <= 0 {
+	if need <= total || total <= base {
 		return
 	}
 	for _, d := range ds {
-		d.timely = min(d.timely, baseMachines) + max(d.timely-baseMachines, 0)*total/need
+		if firm > total {
+			d.timely = baseMachines + (d.firm()-baseMachines)*(total-base)/(firm-base)
+			continue
+		}
+		d.timely = d.firm() + (d.timely-d.firm())*(total-firm)/(need-firm)
 	}
 }
 
@@ -196,6 +203,11 @@
 	}
 }
 
+// isStandby reports whether the machines of a pool are powered off.
+func (s *State) isStandby(pool string) bool {
+	return s.cfg != nil && s.cfg.Services[pool] != nil && s.cfg.Services[pool].Standby
+}
+
 // standbyPool returns the pool of powered-off machines, or an empty name.
 func (s *State) standbyPool() string {
 	name := ""
@@ -220,7 +232,7 @@
 	switch {
 	case ms.sent:
 		// A powered-off machine has no runner that would show its arrival.
-		if svc := s.cfg.Services[ms.movingTo]; svc != nil && svc.Standby && now.Sub(ms.since) > s.Limits.MoveTime+noRunnerTimeout {
+		if s.isStandby(ms.movingTo) && now.Sub(ms.since) > s.Limits.MoveTime+noRunnerTimeout {
 			ms.movingTo, ms.sent, ms.since = "", false, now
 		} else if rs != nil && rs.Service == ms.movingTo && rs.Incarnation > ms.fromIncarnation {
 			s.Logger.Log("msg", "machine moved", "machine", ms.ID, "pool", ms.movingTo, "runner", rs.ID, "took", now.Sub(ms.since))
@@ -245,6 +257,14 @@
 	return nil
 }
 
+// hasLeft reports whether a runner that has ended is no longer missed in its pool: its
+// machine is in another one, or has another runner.
+func (s *State) hasLeft(rs *runnerState) bool {
+	id := machine.ID(rs.Machine)
+	ms := s.machineStates[id]
+	return rs.ended && (ms != nil && ms.Pool != rs.Service || s.runnerOf(id) != rs)
+}
+
 // planMove plans the move of a machine.
 func (s *State) planMove(ms *machineState, to string, now clock.BootTime) {
 	ms.movingTo, ms.sent, ms.fromRunner, ms.fromIncarnation = to, false, "", 0
