lead: check the age of the last renewal where a command is sent

A leader that was paused for over 5 s polled runners and started tasks when it went on, until a renewal failed or a runner rejected its term. The waits of the next leader rest on "nothing RenewDeadline after the last renewal". Only the renewal itself, after a failure, looked at the age.

Commands wait while the last renewal is too old, so that a renewal that succeeds late ends nothing. A poll that has begun is not cut off, nor does it expire earlier at a relay: its lease end was computed before, so that it is no later for arriving late, and an outage of the store of 3 to 5 s must not make runners count as unreachable.

TestCommandExpiresAtSendDeadline, without it at the pool: 2 calls after the deadline, others expire 500 ms after it. A process that is paused between this check and the system call still sends one request late; runners that the next leader has reached reject it.

--- a/internal/lead/command.go
+++ b/internal/lead/command.go
@@ -14,6 +14,9 @@
 const (
 	// commandRetryDelay follows a command that must be sent again.
 	commandRetryDelay = 30 * time.Millisecond
+	// overdueDelay is the time between two checks whether an overdue renewal has
+	// succeeded.
+	overdueDelay = 100 * time.Millisecond
 )
 
 // batchStarter is implemented by clients that send several starts to a runner in
@@ -46,6 +49,23 @@
 	}
 }
 
+// lockForSending locks the state to prepare a command or poll. It returns the present
+// time, by which its lease is computed, and the time from which on it may not be sent.
+// It waits while the last renewal is too old, as it is once the process was paused, and
+// returns false, without the lock, when the term has ended.
+func (t *term) lockForSending(ctx context.Context) (now, until clock.BootTime, ok bool) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		now, until = clock.Now(), t.sendDeadline()
+		if until.After(now) {
+			return now, until, true
+		}
+		t.mu.Unlock()
+		clock.Sleep(ctx, overdueDelay)
+	}
+	return 0, 0, false
+}
+
 // maxStarts bounds the starts of one message, which waits for the reply to each.
 const maxStarts = 16
 
@@ -59,8 +79,10 @@
 	}
 	var starts []runner.Start
 	var commands []sched.Command
-	t.mu.Lock()
-	now := clock.Now()
+	now, until, ok := t.lockForSending(ctx)
+	if !ok {
+		return
+	}
 	for i := range batch {
 		if s, needed := t.state.Prepare(&batch[i], now); needed {
 			starts, commands = append(starts, s), append(commands, batch[i])
@@ -71,7 +93,7 @@
 		return
 	}
 	sent := clock.Now()
-	for i, o := range batcher.StartAll(ctx, commands[0].To, t.id, starts) {
+	for i, o := range batcher.StartAll(runner.WithSendDeadline(ctx, until), commands[0].To, t.id, starts) {
 		c := commands[i]
 		t.logFailure(ctx, &c, o.Err)
 		if t.handleReply(&c, sent, o.Reply, o.Err) {
@@ -93,23 +115,27 @@
 // sendCommand sends one command, repeatedly until a reply gives its outcome or
 // it is no longer needed.
 func (t *term) sendCommand(ctx context.Context, c sched.Command) {
-	for ctx.Err() == nil {
-		t.mu.Lock()
-		start, needed := t.state.Prepare(&c, clock.Now())
+	for {
+		now, until, ok := t.lockForSending(ctx)
+		if !ok {
+			return
+		}
+		start, needed := t.state.Prepare(&c, now)
 		t.mu.Unlock()
 		if !needed {
 			return
 		}
+		sctx := runner.WithSendDeadline(ctx, until)
 		var reply runner.Reply
 		var err error
 		sent := clock.Now()
 		switch c.Kind {
 		case sched.StartRun:
-			reply, err = t.cfg.Runners.Start(ctx, c.To, t.id, start)
+			reply, err = t.cfg.Runners.Start(sctx, c.To, t.id, start)
 		case sched.StopRun:
-			reply, err = t.cfg.Runners.Stop(ctx, c.To, t.id, c.Task, c.Attempt)
+			reply, err = t.cfg.Runners.Stop(sctx, c.To, t.id, c.Task, c.Attempt)
 		case sched.ThrottleRun:
-			reply, err = t.cfg.Runners.Throttle(ctx, c.To, t.id, c.Task, c.Attempt, c.Percent)
+			reply, err = t.cfg.Runners.Throttle(sctx, c.To, t.id, c.Task, c.Attempt, c.Percent)
 		case sched.MaintainMachine, sched.MoveMachine:
 			return // sendMachineCommand sends these
 		}
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -13,11 +13,12 @@
 //
 // A leader that cannot reach the store continues to send commands to runners,
 // because fencing protects the next leader. It stops when it has not renewed
-// its lease for RenewDeadline. The next leader relies on that limit for runners
-// that it cannot reach: it assumes that their runs may last for RenewDeadline
-// plus the maximum runner lease, unless the list of machines shows after
-// RenewDeadline that they have ended. Results are not acknowledged to runners
-// until their effect is stored.
+// its lease for RenewDeadline, which is checked where a lease is computed and where
+// a command is written, since the process may have been paused. The next leader
+// relies on that limit for runners that it cannot reach: it assumes that their runs
+// may last for RenewDeadline plus the maximum runner lease, unless the list of
+// machines shows after RenewDeadline that they have ended. Results are not
+// acknowledged to runners until their effect is stored.
 //
 // # Ownership
 //
--- a/internal/lead/poll.go
+++ b/internal/lead/poll.go
@@ -42,13 +42,16 @@
 // poll polls one runner until the state no longer tracks it.
 func (t *term) poll(ctx context.Context, id runner.ID, wakeup <-chan struct{}) {
 	for ctx.Err() == nil {
-		t.mu.Lock()
+		now, until, ok := t.lockForSending(ctx)
+		if !ok {
+			return
+		}
 		interval := max(pollInterval, t.cfg.pollPause(len(t.pollers)))
 		if t.state.Isolated(id) {
 			interval = pollInterval
 		}
 		idle := t.state.Idle(id)
-		req, ok := t.state.Poll(id, clock.Now())
+		req, ok := t.state.Poll(id, now)
 		if !ok {
 			delete(t.pollers, id)
 			t.pollerCount.Store(int64(len(t.pollers)))
@@ -57,12 +60,12 @@
 		}
 		t.mu.Unlock()
 		sent := clock.Now()
-		rep, reply, err := t.cfg.Runners.Poll(ctx, req.To, t.id, req.PollRequest)
+		rep, reply, err := t.cfg.Runners.Poll(runner.WithSendDeadline(ctx, until), req.To, t.id, req.PollRequest)
 		if ctx.Err() != nil {
 			return
 		}
 		t.mu.Lock()
-		now := clock.Now()
+		now = clock.Now()
 		switch {
 		case err != nil || (rep == nil && !t.handleRejection(req.To, reply, sent, now)):
 			t.state.PollFailed(id, now)
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// sendDeadline returns the time from which on nothing is sent to runners unless the
+// lease has been renewed again.
+func (t *term) sendDeadline() clock.BootTime {
+	return clock.BootTime(t.renewed.Load()).Add(RenewDeadline)
+}
+
 // notify wakes up the planner.
 func (t *term) notify() {
 	select {
--- a/internal/lead/unknown_test.go
+++ b/internal/lead/unknown_test.go
@@ -42,7 +42,9 @@
 		t.Fatal(err)
 	}
 	state := sched.New(runner.Term(rev), clock.Now(), sched.Limits{MaxRunnerLease: 6 * time.Second}, log.NewNopLogger())
-	return &term{cfg: &Config{Store: s}, id: runner.Term(rev), logger: log.NewNopLogger(), wakeup: make(chan struct{}, 1), state: state}
+	tm := &term{cfg: &Config{Store: s}, id: runner.Term(rev), logger: log.NewNopLogger(), wakeup: make(chan struct{}, 1), state: state}
+	tm.renewed.Store(int64(clock.Now()))
+	return tm
 }
 
 // TestRosterReplyLost guards against a roster that the store holds and the
--- a/internal/relay/expiry.go
+++ b/internal/relay/expiry.go
@@ -84,9 +84,11 @@
 	return errExpired
 }
 
-// context returns a context that ends at the expiry.
+// context returns a context that ends at the expiry, and with which nothing is sent
+// to a runner after it.
 func (e *expiry) context(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, e.remaining())
+	d := e.remaining()
+	return context.WithTimeout(runner.WithSendDeadline(ctx, clock.Now().Add(d)), d)
 }
 
 // batch counts the commands of one message that expired, for one log line.
--- a/internal/relay/expiry_test.go
+++ b/internal/relay/expiry_test.go
@@ -303,3 +303,29 @@
 		t.Errorf("reply at %v, want one between %v and now", at, began)
 	}
 }
+
+// TestCommandExpiresAtSendDeadline guards against a relay that begins a command after
+// the time from which on its leader may send none.
+func TestCommandExpiresAtSendDeadline(t *testing.T) {
+	disconnected := make(chan struct{})
+	close(disconnected)
+	m := &member{calls: make(chan call, 2), pending: make(map[uint64]chan result), done: disconnected}
+	p := &Pool{CallDirectly: func() bool { return false }}
+	p.used.Store(&selection{relays: []*member{m}})
+	for _, left := range []time.Duration{0, 100 * time.Millisecond, time.Minute} {
+		at := clock.Now().Add(left)
+		ctx := runner.WithSendDeadline(t.Context(), at)
+		if _, err := p.Start(ctx, runner.Target{ID: "r"}, 1, runner.Start{}); err == nil {
+			t.Fatal("reply of a disconnected relay")
+		}
+		p.StartAll(ctx, runner.Target{ID: "r"}, 1, []runner.Start{{}})
+		if left == 0 && len(m.calls) > 0 {
+			t.Errorf("%d calls after the send deadline", len(m.calls))
+		}
+		for range len(m.calls) {
+			if c := <-m.calls; c.Expiry > leaderTime(at) || c.Expiry > leaderTime(clock.Now().Add(commandTimeout)) {
+				t.Errorf("call of kind %d expires %v after the send deadline", c.Kind, time.Duration(c.Expiry-leaderTime(at)))
+			}
+		}
+	}
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -179,8 +179,8 @@
 
 // do executes a call through a relay. The call expires when do gives up on it, or
 // earlier.
-func (m *member) do(ctx context.Context, c call, within time.Duration) result {
-	c.Expiry = leaderTime(clock.Now().Add(within))
+func (m *member) do(ctx context.Context, c call, until clock.BootTime) result {
+	c.Expiry = leaderTime(until)
 	ch := make(chan result, 1)
 	m.mu.Lock()
 	m.seq++
@@ -193,7 +193,7 @@
 		m.removePending(c.Seq)
 		return result{Outcome: notSent, Err: "relay " + m.Name + " has too many queued calls"}
 	}
-	t := time.NewTimer(within)
+	t := time.NewTimer(until.Sub(clock.Now()))
 	defer t.Stop()
 	select {
 	case r := <-ch:
@@ -231,10 +231,24 @@
 
 // sendCommand executes a call that is not a poll.
 func (m *member) sendCommand(ctx context.Context, c call) (runner.Reply, error) {
-	r := m.do(ctx, c, commandTimeout)
+	r := m.doCommand(ctx, c)
 	return runner.Reply{Verdict: r.Verdict, Clock: r.Clock}, r.err()
 }
 
+// doCommand executes a call that is not a poll. It expires no later than the send
+// deadline. A poll may arrive after that, since its lease is no later for it.
+func (m *member) doCommand(ctx context.Context, c call) result {
+	now := clock.Now()
+	until := now.Add(commandTimeout)
+	if at := runner.SendDeadline(ctx); at != 0 {
+		until = min(until, at)
+	}
+	if !until.After(now) {
+		return result{Outcome: notSent, Err: "send deadline has passed"}
+	}
+	return m.do(ctx, c, until)
+}
+
 // Start starts a run.
 func (p *Pool) Start(ctx context.Context, to runner.Target, t runner.Term, s runner.Start) (runner.Reply, error) {
 	m := p.pick(to)
@@ -272,7 +286,7 @@
 		c.Starts = append(c.Starts, start{Task: s.Task, Attempt: s.Attempt, Spec: spec, Checkpoint: s.Checkpoint, Permit: s.Permit})
 		c.LeaseUntil = max(c.LeaseUntil, s.LeaseUntil)
 	}
-	r := m.do(ctx, c, commandTimeout)
+	r := m.doCommand(ctx, c)
 	err := r.err()
 	if err == nil && len(r.Starts) != len(starts) {
 		err = errors.Wrapf(runner.ErrNoResponse, "%d outcomes of %d starts through relay %s", len(r.Starts), len(starts), m.Name)
@@ -312,6 +326,6 @@
 	if m == nil {
 		return p.Direct.Poll(ctx, to, t, req)
 	}
-	r := m.do(ctx, call{Kind: pollRunner, Runner: to.ID, Addr: to.Addr, Term: t, LeaseUntil: req.LeaseUntil, Acked: req.Acked, Wait: req.Wait}, req.Wait+pollGrace)
+	r := m.do(ctx, call{Kind: pollRunner, Runner: to.ID, Addr: to.Addr, Term: t, LeaseUntil: req.LeaseUntil, Acked: req.Acked, Wait: req.Wait}, clock.Now().Add(req.Wait+pollGrace))
 	return r.Report, runner.Reply{Verdict: r.Verdict, Clock: r.Clock}, r.err()
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -184,8 +184,24 @@
 	Err   error
 }
 
-// Client sends commands to runners, with the term of the leader. A command
-// without a reply returns ErrNoResponse, or ErrUnreachable if it was not sent.
+type sendDeadlineKey struct{}
+
+// WithSendDeadline returns a context with which no command or poll is sent at or after
+// a time. One that was sent before may wait for its reply longer than that.
+func WithSendDeadline(ctx context.Context, at clock.BootTime) context.Context {
+	return context.WithValue(ctx, sendDeadlineKey{}, at)
+}
+
+// SendDeadline returns the time from which on nothing is sent with a context, or zero
+// if it has none.
+func SendDeadline(ctx context.Context) clock.BootTime {
+	at, _ := ctx.Value(sendDeadlineKey{}).(clock.BootTime)
+	return at
+}
+
+// Client sends commands to runners, with the term of the leader, within the send
+// deadline of the context. A command without a reply returns ErrNoResponse, or
+// ErrUnreachable if it was not sent.
 type Client interface {
 	Start(ctx context.Context, to Target, t Term, s Start) (Reply, error)
 	Stop(ctx context.Context, to Target, t Term, task job.Task, attempt int) (Reply, error)
