sched: bound what a series of terms waits for a runner by one term's wait

Long-running tasks of all pools wait longer with each leader that ends while a runner of the roster has not replied. The time that is left of the wait is stored rounded up to 2 s, is lengthened by 3% when it is inherited, and counts from the start of the next term: each of a series of leaders adds up to 3.5 s, also to a wait that was at its maximum. No previous leader sends commands later than the last one may, since all had lost the leader key by the end of its term, so that an open entry never needs more than the whole wait of one term. It is bounded by that. Closed entries, for which only their own tasks wait, are as before.

TestWaitGrowsWithTerms, before: terms 2 to 5 wait 16.5, 18.5, 20.6 and 22.7 s, want 15 s (the fixture's limit) at most.

--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -83,3 +83,18 @@
 		})
 	}
 }
+
+// TestWaitGrowsWithTerms guards against a wait for a runner that grows with each term
+// which inherits it, since the time that is left is rounded up and counts from the start
+// of the term: no leader sends commands longer than the last one.
+func TestWaitGrowsWithTerms(t *testing.T) {
+	entries := []RosterEntry{{ID: "gone", Addr: info("gone", "pool").Addr, Incarnation: 1}}
+	for term := range runner.Term(5) {
+		f := newFixture(t, 200+term)
+		f.s.InheritRoster(entries)
+		if wait := f.s.inherited["gone"].until.Sub(f.now); wait > f.s.Limits.RunnerTakeover {
+			t.Errorf("term %d waits up to %v, want %v at most", term+1, wait, f.s.Limits.RunnerTakeover)
+		}
+		entries = f.s.Roster(f.now.Add(100*time.Millisecond), false)
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -80,22 +80,26 @@
 // InheritRoster adds the roster of previous terms. It must be called before the
 // first plan of the term.
 func (s *State) InheritRoster(entries []RosterEntry) {
+	latest := s.startedAt.Add(s.Limits.RunnerTakeover)
 	for _, e := range entries {
 		if e.equal(unreportedMark) && e.ID == unreportedMark.ID {
 			s.expiredUnreached = true
 			continue
 		}
-		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: latest}
 		in.reached = !e.Closed && e.Remaining == 0
 		if !in.reached {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
 		}
+		if !in.closed {
+			in.until = min(in.until, latest) // Remaining is rounded up in each term
+		}
 		for _, name := range e.Tasks {
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
 				in.closed, in.reached = false, false
-				in.until = s.startedAt.Add(s.Limits.RunnerTakeover)
+				in.until = latest
 				continue
 			}
 			in.tasks = append(in.tasks, t)
