lead: request the list of machines when it can end a wait

A runner of a previous term counts as ended by two lists of machines without it, of which the second is requested after the last command of the previous leader and after its entry was removed. Lists were requested a second apart, two after one that failed, so that tasks waited up to 1 s (2 s) longer than they must.

The removal of an entry and the end of the previous leader wake the goroutine. What a list shows is judged as before.

--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -185,7 +185,7 @@
 	defer cancel(nil)
 	t := &term{
 		cfg: &l.cfg, id: termID, lease: lease, ttl: ttl, logger: logger, end: cancel, vacancy: v, previous: previous,
-		wakeup: make(chan struct{}, 1), policyQueries: make(chan sched.PolicyQuery, policyQueueSize), pollers: make(map[runner.ID]chan struct{}), pollerCount: &l.polledRunners,
+		wakeup: make(chan struct{}, 1), listWakeup: make(chan struct{}, 1), policyQueries: make(chan sched.PolicyQuery, policyQueueSize), pollers: make(map[runner.ID]chan struct{}), pollerCount: &l.polledRunners,
 		machineLimiter: rate.NewLimiter(l.cfg.MachineCommandRate, machineBurst),
 		state:          sched.New(termID, now, limits, logger),
 	}
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -227,6 +227,7 @@
 	for _, id := range t.state.UnregisteredRunners() {
 		t.ensurePolled(ctx, id)
 	}
+	t.wakeLister()
 	return rev, nil
 }
 
@@ -289,6 +290,7 @@
 		if e.Deleted {
 			id := e.Key[len(t.cfg.Registry.Prefix):]
 			t.state.DeregisterRunner(runner.ID(id), clock.Now())
+			t.wakeLister()
 			continue
 		}
 		t.applyRunner(ctx, e.Item)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -206,6 +206,7 @@
 	t.logger.Log("msg", "process of the previous leader has ended", "leader", t.previous.Name, "incarnation", t.previous.Incarnation, "present", r.incarnation, "after", r.at.Sub(t.vacancy.at))
 	t.previous = nil
 	t.state.PreviousLeaderEnded(r.at)
+	t.wakeLister()
 }
 
 // Query returns the status of a job. The bool reports whether this daemon leads;
--- a/internal/lead/machines.go
+++ b/internal/lead/machines.go
@@ -212,39 +212,6 @@
 	return clock.BootTime(t.renewed.Load()).Add(t.ttl - leaseMargin)
 }
 
-// listInterval is the time between two listings of the machines. Runners report
-// moves; only the list shows machines that are powered off.
-const listInterval = 2 * time.Second
-
-// previousListInterval applies while runners of previous terms may still have runs.
-const previousListInterval = time.Second
-
-// listMachines lists the machines repeatedly and applies the result.
-func (t *term) listMachines(ctx context.Context) {
-	if t.cfg.Machines == nil {
-		return
-	}
-	for ctx.Err() == nil {
-		interval, sent := listInterval, clock.Now()
-		ms, err := t.cfg.Machines.List(ctx)
-		if err != nil {
-			if ctx.Err() == nil {
-				t.logger.Log("msg", "machine listing failed", "err", err)
-			}
-		} else {
-			t.mu.Lock()
-			t.state.SetMachines(ms, clock.Now())
-			t.state.RunnersListed(ms, sent, clock.Now())
-			if t.state.WaitsForPrevious() {
-				interval = previousListInterval
-			}
-			t.mu.Unlock()
-			t.notify()
-		}
-		clock.Sleep(ctx, interval)
-	}
-}
-
 // sendMachineCommand sends one command to a machine.
 func (t *term) sendMachineCommand(ctx context.Context, c sched.Command) {
 	if err := t.machineLimiter.Wait(ctx); err != nil {
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -30,6 +30,7 @@
 	// sent; until the first one, at which the lease was requested.
 	renewed       atomic.Int64
 	wakeup        chan struct{}
+	listWakeup    chan struct{} // see wakeLister
 	policyQueries chan sched.PolicyQuery
 	// machineLimiter limits commands to what the machines' API accepts.
 	machineLimiter *rate.Limiter
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -188,6 +188,22 @@
 	}
 }
 
+// NextList returns the earliest time at which a list of machines must be requested to
+// show that a runner of a previous term has ended, as the last list did; false: there is
+// no such runner yet.
+func (s *State) NextList() (at clock.BootTime, ok bool) {
+	for id, in := range s.inherited {
+		rs := s.runners[id]
+		if rs == nil || !rs.unlisted || rs.registered || rs.announced != nil {
+			continue
+		}
+		if due := max(rs.deregisteredAt, s.lastCommand(in)) + 1; !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
 // lastCommand returns the time after which no previous leader sends commands to a
 // runner.
 func (s *State) lastCommand(in *inherited) clock.BootTime {
