lead: ask the previous leader to end its term

Tasks accepted before a change of the leader wait for runners that have not replied, as the previous leader may send commands for 5 s after its last renewal. Only another process of its daemon showed earlier that it sends none. A leader that was frozen, or that lost the store alone, goes on as the same process: the tasks waited for the 5 s also when it had long noticed that its term was over.

The new leader now asks the process that the record of the previous term names, every 0.2 s while it waits, to end that term (package handover, a path of its own on the peers' address). A process replies that the term has ended once all goroutines that poll and send have returned; the new leader adds the 0.6 s in which relays may begin calls and 0.1 s for their way. It also adds them where another process has replied, which it did not until now. No reply, or that of a daemon of an earlier version, changes nothing.

The reply names the term: while a campaign has no outcome, it has not ended; a request that is late ends no later term. Leaders before the previous one may still send commands to an incarnation that does not know the fence, so that a list of machines ends a runner only 5.1 s after the previous term was first seen.

TestListAfterEndOfPreviousLeader: started after 3 s, want 5 s, if leaders before the previous one are not looked at.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/entry"
+	"gypsumtrestle.example/gypsumtrestle/internal/handover"
 	"gypsumtrestle.example/gypsumtrestle/internal/lead"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/metric"
@@ -100,6 +101,7 @@
 		Waves: lead.Waves{
 			Prefix: platform.WavePrefix, Decode: platform.DecodeWave, Status: platform.WaveStatus,
 		},
+		Peers: &handover.Client{}, CommandTime: relay.CommandTimeout,
 		Machines: machines(s.Machines), MachineCommandRate: machineCommandRate(s),
 		Policy:        policy(s.Policy),
 		CurrentConfig: d.config.Config,
@@ -199,6 +201,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(query.Path, query.Handler(d.leader))
 	peers.Handle(relay.Path, d.relays.Handler())
+	peers.Handle(handover.Path, handover.Handler(d.leader))
 	if err := d.serve(ctx, &g, "peer", d.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -17,12 +17,6 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 )
 
-// vacancy is the time without a leader before a term.
-type vacancy struct {
-	term runner.Term    // whose leader key was deleted
-	at   clock.BootTime // all terms had ended
-}
-
 // watchLeader reads the leader key and, if a daemon has it, waits until the key
 // is deleted. It then campaigns, and returns when the campaign has failed or the
 // term has ended.
@@ -36,7 +30,7 @@
 		return l.campaign(ctx)
 	}
 	l.observe(items[0])
-	held := items[0].Rev
+	held, since := items[0].Rev, clock.Now()
 	for ctx.Err() == nil {
 		events, asOf, err := l.cfg.Store.Watch(ctx, job.LeaderKey, rev, time.Now().Add(leaderWatchTimeout))
 		if err != nil {
@@ -48,11 +42,13 @@
 		}
 		last := events[len(events)-1]
 		if last.Deleted {
-			l.vacated = vacancy{term: runner.Term(held), at: clock.Now()}
+			l.vacated = vacancy{term: runner.Term(held), since: since, at: clock.Now()}
 			l.observe(kv.Item{})
 			return l.campaign(ctx)
 		}
-		held = last.Rev
+		if last.Rev != held {
+			held, since = last.Rev, clock.Now()
+		}
 		l.observe(last.Item)
 	}
 	return ctx.Err()
@@ -95,7 +91,7 @@
 	sent := clock.Now() // the lease may run from the arrival of the call
 	previous := l.vacated
 	if last.Rev == 0 || previous.term != runner.Term(last.Rev) {
-		previous = vacancy{at: sent}
+		previous = vacancy{since: sent, at: sent}
 	}
 	lease, ttl, err := l.cfg.Store.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -105,6 +101,8 @@
 	if err != nil {
 		return errors.Wrap(err, "campaign")
 	}
+	l.contending.Store(true)
+	defer l.contending.Store(false)
 	rev, err := l.cfg.Store.Commit(ctx, kv.Txn{
 		Conds:  []kv.Cond{{Key: job.LeaderKey}, {Key: job.TermKey, Rev: last.Rev}},
 		Writes: []kv.Write{{Key: job.LeaderKey, Value: value, Lease: lease}, {Key: job.TermKey, Value: value}},
@@ -130,26 +128,6 @@
 	return l.lead(ctx, runner.Term(rev), lease, ttl, sent, previous, l.decodePrevious(last))
 }
 
-// previousTerm is the term before this one.
-type previousTerm struct {
-	Holder
-	id runner.Term
-}
-
-// decodePrevious decodes the record of the previous term. It returns nil if there is
-// none.
-func (l *Leader) decodePrevious(it kv.Item) *previousTerm {
-	if it.Rev == 0 {
-		return nil
-	}
-	var h Holder
-	if err := cbor.Unmarshal(it.Value, &h); err != nil {
-		l.cfg.Logger.Log("msg", "record of the previous term decoding failed", "rev", int64(it.Rev), "err", err)
-		return nil
-	}
-	return &previousTerm{Holder: h, id: runner.Term(it.Rev)}
-}
-
 const (
 	// campaignDelay applies to a host of relative capacity 1. A host of a
 	// quarter of that capacity waits four times as long.
@@ -190,12 +168,15 @@
 		state:          sched.New(termID, now, limits, logger),
 	}
 	t.renewed.Store(int64(requested))
+	l.running.Store(t)
+	defer l.running.Store(nil)
 	// The state of the leader is long-lived, and collecting it costs time that
 	// decisions wait for. Other daemons keep the default and a small heap.
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	t.run(tctx, func() {
 		l.current.Store(t)
 		l.DaemonReplied(l.cfg.Self.Name, l.cfg.Self.Incarnation, clock.Now())
+		t.spawn(func() { l.askPrevious(tctx, t) })
 	})
 	l.current.Store(nil)
 	logger.Log("msg", "term ended", "why", context.Cause(tctx))
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -83,6 +83,10 @@
 	MachineCommandRate rate.Limit
 	// Policy is nil where the platform has no policy service.
 	Policy Policy
+	// Peers is nil if other daemons cannot be asked.
+	Peers Peers
+	// CommandTime is how long after it was sent a command may begin at a relay.
+	CommandTime time.Duration
 	// CurrentConfig returns the active configuration, or nil.
 	CurrentConfig func() *job.Config
 	Limits        sched.Limits
@@ -100,7 +104,10 @@
 type Leader struct {
 	cfg     Config
 	holder  atomic.Pointer[Holder]
-	current atomic.Pointer[term]
+	current atomic.Pointer[term] // nil until the state is loaded
+	// contending is set while a term of this process may begin or goes on.
+	contending atomic.Bool
+	running    atomic.Pointer[term] // the term that goes on; nil if none is known to
 	// polledRunners is the number of runners that the current term polls.
 	polledRunners atomic.Int64
 	mu            sync.Mutex
@@ -166,49 +173,6 @@
 	return ctx.Err()
 }
 
-// daemonReply is the last reply of a process of a daemon to this one.
-type daemonReply struct {
-	incarnation string
-	at          clock.BootTime // the reply came at this time or later
-}
-
-// DaemonReplied records that a process of a daemon replied to this one at or after
-// a time.
-func (l *Leader) DaemonReplied(name, incarnation string, at clock.BootTime) {
-	if incarnation == "" {
-		return // a daemon of an earlier version
-	}
-	l.mu.Lock()
-	if l.replies == nil {
-		l.replies = make(map[string]daemonReply)
-	}
-	l.replies[name] = daemonReply{incarnation, at}
-	l.mu.Unlock()
-	if t := l.current.Load(); t != nil {
-		l.checkPrevious(t)
-	}
-}
-
-// checkPrevious tells the state if the process of the previous leader has ended:
-// another process of that daemon has replied since its term.
-func (l *Leader) checkPrevious(t *term) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.previous == nil {
-		return
-	}
-	l.mu.Lock()
-	r, ok := l.replies[t.previous.Name]
-	l.mu.Unlock()
-	if !ok || r.incarnation == t.previous.Incarnation || !r.at.After(t.vacancy.at) {
-		return
-	}
-	t.logger.Log("msg", "process of the previous leader has ended", "leader", t.previous.Name, "incarnation", t.previous.Incarnation, "present", r.incarnation, "after", r.at.Sub(t.vacancy.at))
-	t.previous = nil
-	t.state.PreviousLeaderEnded(r.at)
-	t.wakeLister()
-}
-
 // Query returns the status of a job. The bool reports whether this daemon leads;
 // if it does not, the status is empty.
 func (l *Leader) Query(id job.ID) (sched.Status, bool) {
--- a/internal/relay/expiry.go
+++ b/internal/relay/expiry.go
@@ -26,7 +26,7 @@
 	maxClockRate = (1 + maxSlew) / (1 - maxSlew)
 	// maxExchange bounds the exchange that relates the clocks at the start of a
 	// connection. After a longer one, a command would expire before it arrives.
-	maxExchange = commandTimeout
+	maxExchange = CommandTimeout
 	// readingPeriod is the pause between two messages of a relay without results.
 	// They keep the reading of a relay without calls recent, so that its first
 	// call does not expire by the allowance for the rates of the clocks.
--- a/internal/relay/expiry_test.go
+++ b/internal/relay/expiry_test.go
@@ -323,7 +323,7 @@
 			t.Errorf("%d calls after the send deadline", len(m.calls))
 		}
 		for range len(m.calls) {
-			if c := <-m.calls; c.Expiry > leaderTime(at) || c.Expiry > leaderTime(clock.Now().Add(commandTimeout)) {
+			if c := <-m.calls; c.Expiry > leaderTime(at) || c.Expiry > leaderTime(clock.Now().Add(CommandTimeout)) {
 				t.Errorf("call of kind %d expires %v after the send deadline", c.Kind, time.Duration(c.Expiry-leaderTime(at)))
 			}
 		}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// commandTimeout bounds a command through a relay. It is somewhat longer
-	// than the relay itself waits for the runner.
-	commandTimeout = 600 * time.Millisecond
+	// CommandTimeout bounds a command through a relay, which does not begin it later.
+	// It is somewhat longer than the relay itself waits for the runner.
+	CommandTimeout = 600 * time.Millisecond
 	// pollGrace is the same for a poll, in addition to the time that the poll
 	// may wait.
 	pollGrace = 600 * time.Millisecond
@@ -239,7 +239,7 @@
 // deadline. A poll may arrive after that, since its lease is no later for it.
 func (m *member) doCommand(ctx context.Context, c call) result {
 	now := clock.Now()
-	until := now.Add(commandTimeout)
+	until := now.Add(CommandTimeout)
 	if at := runner.SendDeadline(ctx); at != 0 {
 		until = min(until, at)
 	}
--- a/internal/relay/recorded_test.go
+++ b/internal/relay/recorded_test.go
@@ -60,7 +60,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 		c := <-m.calls
-		within := commandTimeout
+		within := CommandTimeout
 		if c.Kind == pollRunner {
 			within = c.Wait + pollGrace
 		}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -179,7 +179,7 @@
 		}
 		again := rs.unlisted
 		rs.unlisted = !listed[id] && !unnamed[machine.ID(rs.Machine)]
-		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, s.lastCommand(in))) {
+		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, in.lastCommand)) {
 			continue
 		}
 		s.Logger.Log("msg", "runner of previous term has ended", "runner", id, "why", unlisted, "machine", rs.Machine, "left", in.until.Sub(now))
@@ -197,19 +197,13 @@
 		if rs == nil || !rs.unlisted || rs.registered || rs.announced != nil {
 			continue
 		}
-		if due := max(rs.deregisteredAt, s.lastCommand(in)) + 1; !ok || due < at {
+		if due := max(rs.deregisteredAt, in.lastCommand) + 1; !ok || due < at {
 			at, ok = due, true
 		}
 	}
 	return at, ok
 }
 
-// lastCommand returns the time after which no previous leader sends commands to a
-// runner.
-func (s *State) lastCommand(in *inherited) clock.BootTime {
-	return in.until.Add(-s.Limits.MaxRunnerLease - s.Limits.MaxRunnerLease/20)
-}
-
 // WaitsForPrevious reports whether runners of previous terms may still have runs.
 func (s *State) WaitsForPrevious() bool { return len(s.inherited) > 0 }
 
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -37,6 +37,7 @@
 	commands       []Command
 	previous       *modelLeader // whose term came before
 	rosterBy       runner.Term  // who had stored the roster that it inherited
+	began          clock.BootTime
 	missed         *modelRunner // the last list of machines missed it
 }
 
@@ -105,7 +106,7 @@
 func (m *model) electAfter(vacant time.Duration) {
 	m.pass(vacant)
 	m.rev++
-	l := &modelLeader{term: runner.Term(m.rev), store: true, lastStoreReply: m.now, reach: make(map[*modelRunner]bool), broken: make(map[*modelRunner]bool)}
+	l := &modelLeader{began: m.now, term: runner.Term(m.rev), store: true, lastStoreReply: m.now, reach: make(map[*modelRunner]bool), broken: make(map[*modelRunner]bool)}
 	limits := Limits{MaxRunnerLease: modelMaxLease, OutcomeRetention: time.Hour, RunnerTakeover: modelStopTimeout + modelMaxLease + modelMaxLease/20 - vacant}
 	if m.weaken == "takeover" {
 		limits.RunnerTakeover = 0
@@ -235,7 +236,7 @@
 		l.previous.stopped, l.previous.commands = true, nil
 	}
 	if l.rosterBy == l.previous.term || m.weaken == "author" {
-		l.s.PreviousLeaderEnded(m.now)
+		l.s.PreviousLeaderEnded(m.now, l.previous.began.Add(modelStopTimeout))
 	}
 }
 
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -6,6 +6,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -66,7 +67,7 @@
 			began := f.now
 			f.now += second / 2
 			if c.ended {
-				f.s.PreviousLeaderEnded(f.now)
+				f.s.PreviousLeaderEnded(f.now, f.now)
 			}
 			for f.now.Sub(began) < time.Minute {
 				f.now += second / 10
@@ -98,3 +99,23 @@
 		entries = f.s.Roster(f.now.Add(100*time.Millisecond), false)
 	}
 }
+
+// TestListAfterEndOfPreviousLeader guards against a list of machines that ends a runner
+// while a leader before the previous one may send commands: the next incarnation under
+// the same ID does not know the fence of the previous one.
+func TestListAfterEndOfPreviousLeader(t *testing.T) {
+	for _, earlier := range []int{0, 4} {
+		f, ms := lostRunner(t)
+		began := f.now
+		got := f.startAfter(8, func(at int) []machine.Machine {
+			if at == 1 {
+				f.s.DeregisterRunner("a", f.now)
+				f.s.PreviousLeaderEnded(f.now, began.Add(time.Duration(earlier)*time.Second))
+			}
+			return ms
+		})
+		if want := max(earlier+1, 3); got != want {
+			t.Errorf("started after %d s, want %d: leaders before the previous one may send commands for %d s", got, want, earlier)
+		}
+	}
+}
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -65,6 +65,9 @@
 	incarnation runner.Incarnation
 	machine     string
 	until       clock.BootTime // no run of a previous term outlasts this time
+	// lastCommand is the time after which no previous leader sends commands to the
+	// runner, or to a later incarnation that it takes for this one.
+	lastCommand clock.BootTime
 	tasks       []job.Task
 }
 
@@ -94,12 +97,13 @@
 		if !in.closed {
 			in.until = min(in.until, latest) // Remaining is rounded up in each term
 		}
+		in.lastCommand = in.until.Add(-s.leaseTime())
 		for _, name := range e.Tasks {
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
 				in.closed, in.reached = false, false
-				in.until = latest
+				in.until, in.lastCommand = latest, latest.Add(-s.leaseTime())
 				continue
 			}
 			in.tasks = append(in.tasks, t)
@@ -121,14 +125,18 @@
 	s.RosterStored(entries)
 }
 
-// PreviousLeaderEnded records that the process of the previous leader had ended at a
-// time. It extended no lease after that, and the runners that it had reached reject
-// the commands of earlier leaders.
-func (s *State) PreviousLeaderEnded(at clock.BootTime) {
-	until := at.Add(s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20) // a runner's clock may be slow
+// PreviousLeaderEnded records that the previous leader sends no commands after a time.
+// The runners that it had reached reject those of earlier leaders, which may last until
+// the other time; a later incarnation does not.
+func (s *State) PreviousLeaderEnded(at, earlier clock.BootTime) {
+	until := at.Add(s.leaseTime())
 	n := 0
 	for _, in := range s.inherited {
-		if in.reached && in.until.After(until) {
+		if !in.reached {
+			continue
+		}
+		in.lastCommand = min(in.lastCommand, max(at, earlier))
+		if in.until.After(until) {
 			in.until = until
 			n++
 		}
@@ -136,11 +144,17 @@
 	s.Logger.Log("msg", "wait for runners of the previous term shortened", "runners", n, "left", until.Sub(at))
 }
 
+// leaseTime returns the longest time for which a lease lasts that a command extends.
+func (s *State) leaseTime() time.Duration {
+	return s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20 // a runner's clock may be slow
+}
+
 // InheritUnknownRoster records that the roster of previous terms cannot be read:
 // tasks that were accepted before this term may run on unknown runners until
 // their leases have expired.
 func (s *State) InheritUnknownRoster() {
-	s.inherited[""] = &inherited{until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+	until := s.startedAt.Add(s.Limits.RunnerTakeover)
+	s.inherited[""] = &inherited{until: until, lastCommand: until.Add(-s.leaseTime())}
 }
 
 // UnregisteredRunners returns the runners that have no entry in the store, such
