lead: start no tasks later than 4 s after a renewal

A runner that is gone counts as ended only by a list of machines that was requested when the previous leader can send it no more commands: it may start again under its ID, with no memory of terms, and the previous leader take it for the one before. For a leader that is gone for good, or frozen for long, that is 5.1 s after its term, and so all tasks accepted before wait until 6.4 to 6.5 s after its loss, if any runner was lost about then.

Only a start can make a task run there. Polls, stops and throttles at such a runner change nothing, and a lease is no longer for them, as its end is computed before. So starts now have a limit of their own, StartDeadline, 4 s after the last renewal; leases are extended until RenewDeadline as before, and an outage of the store ends no run earlier. The record of the term names the limit, so that a leader of an earlier version is waited for as long as it may start tasks, and so are all leaders before the previous one. A term that stored no roster changes nothing either.

TestStartDeadlineOfPreviousLeader: a previous leader of an earlier version is waited for for 0.1 s if the record's limit is not looked at, want 5.1 s. The models have the limit as well.

The recorded leader key changes with its new field. Without it the bytes are those of the earlier version (leader-1).

--- a/internal/lead/command.go
+++ b/internal/lead/command.go
@@ -53,10 +53,10 @@
 // time, by which its lease is computed, and the time from which on it may not be sent.
 // It waits while the last renewal is too old, as it is once the process was paused, and
 // returns false, without the lock, when the term has ended.
-func (t *term) lockForSending(ctx context.Context) (now, until clock.BootTime, ok bool) {
+func (t *term) lockForSending(ctx context.Context, deadline time.Duration) (now, until clock.BootTime, ok bool) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
-		now, until = clock.Now(), t.sendDeadline()
+		now, until = clock.Now(), t.sendDeadline(deadline)
 		if until.After(now) {
 			return now, until, true
 		}
@@ -79,7 +79,7 @@
 	}
 	var starts []runner.Start
 	var commands []sched.Command
-	now, until, ok := t.lockForSending(ctx)
+	now, until, ok := t.lockForSending(ctx, StartDeadline)
 	if !ok {
 		return
 	}
@@ -115,8 +115,12 @@
 // sendCommand sends one command, repeatedly until a reply gives its outcome or
 // it is no longer needed.
 func (t *term) sendCommand(ctx context.Context, c sched.Command) {
+	deadline := RenewDeadline
+	if c.Kind == sched.StartRun {
+		deadline = StartDeadline
+	}
 	for {
-		now, until, ok := t.lockForSending(ctx)
+		now, until, ok := t.lockForSending(ctx, deadline)
 		if !ok {
 			return
 		}
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -17,9 +17,10 @@
 // a command is written, since the process may have been paused. The next leader
 // relies on that limit for runners that it cannot reach: it assumes that their runs
 // may last for RenewDeadline plus the maximum runner lease, unless the list of
-// machines shows after RenewDeadline that they have ended. It also asks the previous
-// leader to end its term, and waits less for one that has. Results are not
-// acknowledged to runners until their effect is stored.
+// machines shows after the last start that they have ended. No task is started later
+// than StartDeadline after a renewal. The next leader also asks the previous one to end
+// its term, and waits less for one that has. Results are not acknowledged to runners
+// until their effect is stored.
 //
 // # Ownership
 //
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -32,6 +32,10 @@
 	// RenewDeadline is how long a leader sends commands to runners without
 	// having renewed its lease.
 	RenewDeadline = 5 * time.Second
+	// StartDeadline is the same for starts. A start may reach a later incarnation of its
+	// runner, which does not reject it, so that the next leader waits for the last one
+	// before it takes a runner's absence from the list of machines for its end.
+	StartDeadline = 4 * time.Second
 	// commandTransit is the time in which a command arrives that was sent just in time,
 	// and covers the different speeds of two hosts' clocks.
 	commandTransit = 100 * time.Millisecond
@@ -46,6 +50,9 @@
 	Name        string         `cbor:"1,keyasint"`
 	Addr        netip.AddrPort `cbor:"2,keyasint"`
 	Incarnation string         `cbor:"3,keyasint"`
+	// StartDeadline is that of the process, which New sets. Earlier versions have none,
+	// and start tasks until RenewDeadline.
+	StartDeadline time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Registry describes where runners are registered in the store.
@@ -122,6 +129,7 @@
 
 // New returns a leader that is not running yet.
 func New(c Config) *Leader {
+	c.Self.StartDeadline = StartDeadline
 	return &Leader{cfg: c, changed: make(chan struct{}), done: make(chan struct{})}
 }
 
--- a/internal/lead/poll.go
+++ b/internal/lead/poll.go
@@ -42,7 +42,7 @@
 // poll polls one runner until the state no longer tracks it.
 func (t *term) poll(ctx context.Context, id runner.ID, wakeup <-chan struct{}) {
 	for ctx.Err() == nil {
-		now, until, ok := t.lockForSending(ctx)
+		now, until, ok := t.lockForSending(ctx, RenewDeadline)
 		if !ok {
 			return
 		}
--- a/internal/lead/recorded_test.go
+++ b/internal/lead/recorded_test.go
@@ -17,6 +17,10 @@
 func TestRecorded(t *testing.T) {
 	f := recorded.Open(t, "recorded.hex")
 	check[lead.Holder](f, "leader")
+	// A daemon of an earlier version has no deadline for starts.
+	h := recorded.New[lead.Holder]()
+	h.StartDeadline = 0
+	recorded.RoundTripOf(f, "leader-1", h, recorded.Encoder[lead.Holder](cbor.Marshal), recorded.Decoder[lead.Holder](cbor.Unmarshal))
 	check[[]sched.RosterEntry](f, "roster")
 	check[map[machine.ID]sched.Intent](f, "intents")
 }
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -155,10 +155,10 @@
 	}
 }
 
-// sendDeadline returns the time from which on nothing is sent to runners unless the
-// lease has been renewed again.
-func (t *term) sendDeadline() clock.BootTime {
-	return clock.BootTime(t.renewed.Load()).Add(RenewDeadline)
+// sendDeadline returns the time from which on commands of a kind with the given
+// deadline are not sent to runners unless the lease has been renewed again.
+func (t *term) sendDeadline(deadline time.Duration) clock.BootTime {
+	return clock.BootTime(t.renewed.Load()).Add(deadline)
 }
 
 // notify wakes up the planner.
--- a/internal/lead/vacancy_test.go
+++ b/internal/lead/vacancy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 	"gypsumtrestle.example/gypsumtrestle/internal/standin/store"
 )
 
@@ -96,3 +99,47 @@
 		t.Errorf("the previous term counts as ended %v before its end", s.ended.Sub(tm.vacancy.at))
 	}
 }
+
+// TestStartDeadlineOfPreviousLeader guards against a list of machines that ends a runner
+// while the previous leader may start tasks there, as one of an earlier version or one
+// that followed another within a second.
+func TestStartDeadlineOfPreviousLeader(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration
+		led      time.Duration // seen to lead
+		want     time.Duration
+	}{
+		{"this version", StartDeadline, 10 * time.Second, StartDeadline},
+		{"an earlier version", 0, 10 * time.Second, RenewDeadline},
+		{"it had just begun", StartDeadline, 0, RenewDeadline},
+	} {
+		s := &lossyStore{Store: &store.Store{}}
+		l := New(Config{Store: s, Logger: log.NewNopLogger(), CurrentConfig: func() *job.Config { return nil }})
+		value, err := cbor.Marshal(Holder{Name: "d1", Incarnation: "1", StartDeadline: c.deadline})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Put(job.TermKey, value)
+		roster, err := cbor.Marshal([]sched.RosterEntry{{ID: "gone", Addr: netip.MustParseAddrPort("127.0.0.1:9"), Incarnation: 1, Machine: "m"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Put(job.RosterKey, roster)
+		last, err := s.Get(t.Context(), job.TermKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tm := newTestTerm(t, s)
+		now := clock.Now()
+		tm.cfg, tm.previous, tm.vacancy = &l.cfg, l.decodePrevious(last), vacancy{since: now.Add(-c.led), at: now}
+		tm.state = sched.New(tm.id, now, sched.Limits{MaxRunnerLease: 6 * time.Second, RunnerTakeover: RenewDeadline + commandTransit + 6300*time.Millisecond}, tm.logger)
+		if _, err := tm.loadJobs(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		tm.state.RunnersListed([]machine.Machine{{ID: "m", State: machine.Down}}, now, now)
+		if at, ok := tm.state.NextList(); !ok || at.Sub(now) != c.want+commandTransit+1 {
+			t.Errorf("%s: the list counts %v after the end of its term (%t), want %v", c.name, at.Sub(now), ok, c.want+commandTransit)
+		}
+	}
+}
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -158,7 +158,7 @@
 // sent. It ends runners of previous terms that have not replied: a runner is one life
 // of a machine, which is over if no machine lists it. The pages of a list are not a
 // snapshot, so that two lists must agree. The second must be requested once the entry
-// of the runner is removed from the store and previous leaders send it no commands:
+// of the runner is removed from the store and previous leaders start no tasks on it:
 // an incarnation that starts after that, under the same ID, gets none.
 func (s *State) RunnersListed(machines []machine.Machine, sent, now clock.BootTime) {
 	if len(s.inherited) == 0 || len(machines) == 0 {
@@ -179,7 +179,7 @@
 		}
 		again := rs.unlisted
 		rs.unlisted = !listed[id] && !unnamed[machine.ID(rs.Machine)]
-		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, in.lastCommand)) {
+		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, in.lastStart)) {
 			continue
 		}
 		s.Logger.Log("msg", "runner of previous term has ended", "runner", id, "why", unlisted, "machine", rs.Machine, "left", in.until.Sub(now))
@@ -197,7 +197,7 @@
 		if rs == nil || !rs.unlisted || rs.registered || rs.announced != nil {
 			continue
 		}
-		if due := max(rs.deregisteredAt, in.lastCommand) + 1; !ok || due < at {
+		if due := max(rs.deregisteredAt, in.lastStart) + 1; !ok || due < at {
 			at, ok = due, true
 		}
 	}
--- a/internal/sched/model_restart_test.go
+++ b/internal/sched/model_restart_test.go
@@ -106,6 +106,7 @@
 		}
 	}
 	l.s.HandleReport(from, sent, m.now, rep)
+	delete(l.open, from.ID)
 	if rs := l.s.runners[from.ID]; m.weaken == "roster" && rs != nil {
 		l.s.rostered[from.ID] = true
 	}
@@ -203,22 +204,43 @@
 func checkLists(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newModel(t, weaken, true)
-		actions := map[string]func(*rapid.T){
-			"submit": m.submit, "pass": m.advance, "round": m.round, "crash": m.crash, "restart": m.restart,
-			"lose runner": m.loseRunner, "work": m.work, "work2": m.work, "deliver": m.deliver, "finish": m.finish,
-		}
-		m.addLists(actions)
-		actions["list2"], actions["late list2"] = m.listMachines, m.deliverList
+		m.repeat(m.listActions())
+	}
+}
+
+// checkReborn is checkLists with runners that start again before the starts of a former
+// leader arrive; the safeguard is "starts", waiting until that one sends none.
+func checkReborn(weaken string) func(*rapid.T) {
+	return func(t *rapid.T) {
+		m := newModel(t, weaken, true)
+		actions := m.listActions()
+		actions["replace leader"], actions["replace leader2"] = m.replaceLeader, m.replaceLeader
 		m.repeat(actions)
 	}
 }
 
+func (m *model) listActions() map[string]func(*rapid.T) {
+	actions := map[string]func(*rapid.T){
+		"submit": m.submit, "pass": m.advance, "round": m.round, "crash": m.crash, "restart": m.restart,
+		"lose runner": m.loseRunner, "work": m.work, "work2": m.work, "deliver": m.deliver, "finish": m.finish,
+	}
+	m.addLists(actions)
+	actions["list2"], actions["late list2"] = m.listMachines, m.deliverList
+	return actions
+}
+
 // TestOneRunBesideLists guards against two runs of a task where lists of machines
 // show that runners have ended.
 func TestOneRunBesideLists(t *testing.T) {
 	rapid.Check(t, checkLists(""))
 }
 
+// TestOneRunOnRebornRunner guards against the same where such a runner starts again and
+// a former leader takes it for the one that has ended.
+func TestOneRunOnRebornRunner(t *testing.T) {
+	rapid.Check(t, checkReborn(""))
+}
+
 // TestOneRunAcrossRestarts guards against the same where runners crash and start
 // again while commands and replies are on their way, and where another writer
 // changes their entries.
--- a/internal/sched/model_runner_test.go
+++ b/internal/sched/model_runner_test.go
@@ -13,8 +13,10 @@
 const (
 	modelMaxLease    = 6 * time.Second
 	modelStopTimeout = 5 * time.Second // a leader without the store stops after this
-	maxModelTasks    = 2               // that a runner has capacity for
-	modelTaskCPU     = 1000
+	// modelStartTimeout is after which it starts no tasks.
+	modelStartTimeout = 4 * time.Second
+	maxModelTasks     = 2 // that a runner has capacity for
+	modelTaskCPU      = 1000
 )
 
 // modelRunner is a runner that keeps the contract.
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -65,10 +65,10 @@
 	incarnation runner.Incarnation
 	machine     string
 	until       clock.BootTime // no run of a previous term outlasts this time
-	// lastCommand is the time after which no previous leader sends commands to the
-	// runner, or to a later incarnation that it takes for this one.
-	lastCommand clock.BootTime
-	tasks       []job.Task
+	// lastStart is the time after which no previous leader starts tasks on the runner, or
+	// on a later incarnation that it takes for this one.
+	lastStart clock.BootTime
+	tasks     []job.Task
 }
 
 const (
@@ -97,13 +97,13 @@
 		if !in.closed {
 			in.until = min(in.until, latest) // Remaining is rounded up in each term
 		}
-		in.lastCommand = in.until.Add(-s.leaseTime())
+		in.lastStart = in.until.Add(-s.leaseTime())
 		for _, name := range e.Tasks {
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
 				in.closed, in.reached = false, false
-				in.until, in.lastCommand = latest, latest.Add(-s.leaseTime())
+				in.until, in.lastStart = latest, latest.Add(-s.leaseTime())
 				continue
 			}
 			in.tasks = append(in.tasks, t)
@@ -129,14 +129,11 @@
 // The runners that it had reached reject those of earlier leaders, which may last until
 // the other time; a later incarnation does not.
 func (s *State) PreviousLeaderEnded(at, earlier clock.BootTime) {
+	s.PreviousStartsEnded(at, earlier)
 	until := at.Add(s.leaseTime())
 	n := 0
 	for _, in := range s.inherited {
-		if !in.reached {
-			continue
-		}
-		in.lastCommand = min(in.lastCommand, max(at, earlier))
-		if in.until.After(until) {
+		if in.reached && in.until.After(until) {
 			in.until = until
 			n++
 		}
@@ -144,6 +141,16 @@
 	s.Logger.Log("msg", "wait for runners of the previous term shortened", "runners", n, "left", until.Sub(at))
 }
 
+// PreviousStartsEnded records that the previous leader starts no tasks after a time, and
+// those before it none after the other.
+func (s *State) PreviousStartsEnded(at, earlier clock.BootTime) {
+	for _, in := range s.inherited {
+		if in.reached {
+			in.lastStart = min(in.lastStart, max(at, earlier))
+		}
+	}
+}
+
 // leaseTime returns the longest time for which a lease lasts that a command extends.
 func (s *State) leaseTime() time.Duration {
 	return s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20 // a runner's clock may be slow
@@ -154,7 +161,7 @@
 // their leases have expired.
 func (s *State) InheritUnknownRoster() {
 	until := s.startedAt.Add(s.Limits.RunnerTakeover)
-	s.inherited[""] = &inherited{until: until, lastCommand: until.Add(-s.leaseTime())}
+	s.inherited[""] = &inherited{until: until, lastStart: until.Add(-s.leaseTime())}
 }
 
 // UnregisteredRunners returns the runners that have no entry in the store, such
--- a/internal/sched/weakened_test.go
+++ b/internal/sched/weakened_test.go
@@ -24,5 +24,6 @@
 	for _, weaken := range []string{"listed", "pages"} {
 		models[weaken] = checkLists(weaken)
 	}
+	models["starts"] = checkReborn("starts")
 	modeltest.MustFail(t, models)
 }
