sched: count only lists after the last start of previous leaders

A runner of a previous term counted as ended by two lists of machines without it, of which only the second had to be requested after the last start that a previous leader may send. Two lists are looked at because pages may miss a machine. But the first may be right, as the runner is down, and the second miss the incarnation that has started since under the same ID and got a start of the previous leader: the task then runs twice. Both must be requested late now.

TestListRequestedBeforeRemoval asked for the end after one list that was requested after the removal, which is this fault; it now asks for two, and fails before.

--- a/internal/lead/listed_test.go
+++ b/internal/lead/listed_test.go
@@ -50,16 +50,18 @@
 		switch lists {
 		case 2:
 			tm.state.DeregisterRunner(i.ID, clock.Now())
-		case 3:
+		case 3, 4:
 			if !tm.state.WaitsForPrevious() {
-				t.Error("the list that was requested before the removal ended the runner")
+				t.Errorf("the runner has ended before list %d, want two lists that were requested after its removal", lists)
+			}
+			if lists == 4 {
+				cancel()
 			}
-			cancel()
 		}
 	}}
 	tm.listMachines(ctx)
 	if tm.state.WaitsForPrevious() {
-		t.Error("the list that was requested after the removal did not end the runner")
+		t.Error("the lists that were requested after the removal did not end the runner")
 	}
 }
 
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -157,9 +157,10 @@
 // RunnersListed records the list of machines that this term requested at the time
 // sent. It ends runners of previous terms that have not replied: a runner is one life
 // of a machine, which is over if no machine lists it. The pages of a list are not a
-// snapshot, so that two lists must agree. The second must be requested once the entry
-// of the runner is removed from the store and previous leaders start no tasks on it:
-// an incarnation that starts after that, under the same ID, gets none.
+// snapshot, so that two lists must agree. Both must be requested once the entry of the
+// runner is removed from the store and previous leaders start no tasks on it: an
+// incarnation that starts after that, under the same ID, gets none, and one that started
+// before is missed by one list at most.
 func (s *State) RunnersListed(machines []machine.Machine, sent, now clock.BootTime) {
 	if len(s.inherited) == 0 || len(machines) == 0 {
 		return
@@ -177,9 +178,10 @@
 		if rs == nil || rs.replied || rs.Machine == "" || !rs.isConfirmed() {
 			continue
 		}
-		again := rs.unlisted
+		again := rs.unlistedLate
 		rs.unlisted = !listed[id] && !unnamed[machine.ID(rs.Machine)]
-		if !again || !rs.unlisted || rs.registered || rs.announced != nil || !sent.After(max(rs.deregisteredAt, in.lastStart)) {
+		rs.unlistedLate = rs.unlisted && !rs.registered && rs.announced == nil && sent.After(max(rs.deregisteredAt, in.lastStart))
+		if !again || !rs.unlistedLate {
 			continue
 		}
 		s.Logger.Log("msg", "runner of previous term has ended", "runner", id, "why", unlisted, "machine", rs.Machine, "left", in.until.Sub(now))
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -436,6 +436,13 @@
 			f.s.DeregisterRunner("a", f.now)
 			return ms[:0]
 		},
+		"missed by one list after it started again": func(f *fixture, ms []machine.Machine, at int) []machine.Machine {
+			f.s.DeregisterRunner("a", f.now)
+			if at > 5 {
+				return append(ms[1:], machine.Machine{ID: "m-a", Runner: "a"})
+			}
+			return ms
+		},
 		"requested before": func(f *fixture, ms []machine.Machine, at int) []machine.Machine {
 			f.s.DeregisterRunner("a", f.now)
 			f.s.RunnersListed(ms, f.s.startedAt, f.now)
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -114,7 +114,7 @@
 			}
 			return ms
 		})
-		if want := max(earlier+1, 3); got != want {
+		if want := max(earlier+2, 4); got != want {
 			t.Errorf("started after %d s, want %d: leaders before the previous one may send commands for %d s", got, want, earlier)
 		}
 	}
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -36,6 +36,7 @@
 	replied        bool           // it has replied in this term, in this incarnation
 	unreachable    bool           // it did not reply to the last poll
 	unlisted       bool           // the last list of machines that this term requested does not name it
+	unlistedLate   bool           // the same, and that list was requested late enough; see RunnersListed
 	followsAnother bool           // an earlier incarnation had the ID in this term
 	clock          clock.Reading
 	leaseUntil     clock.RunnerTime // latest lease end that any term may have sent
