--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -30,6 +30,7 @@
 		return l.campaign(ctx)
 	}
 	l.observe(items[0])
+	held, since := items[0].Rev, clock.Now()
 	for ctx.Err() == nil {
 		events, asOf, err := l.cfg.Store.Watch(ctx, job.LeaderKey, rev, time.Now().Add(leaderWatchTimeout))
 		if err != nil {
@@ -41,9 +42,13 @@
 		}
 		last := events[len(events)-1]
 		if last.Deleted {
+			l.vacated = vacancy{term: runner.Term(held), since: since, at: clock.Now()}
 			l.observe(kv.Item{})
 			return l.campaign(ctx)
 		}
+		if last.Rev != held {
+			held, since = last.Rev, clock.Now()
+		}
 		l.observe(last.Item)
 	}
 	return ctx.Err()
@@ -74,10 +79,20 @@
 		return nil
 	}
 	clock.Sleep(ctx, l.delay())
+	// Read before the leader key: no term has begun since if the commit succeeds, so
+	// that the one in the record had ended when that key was found missing.
+	last, err := l.cfg.Store.Get(ctx, job.TermKey)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return errors.Wrap(err, "campaign")
+	}
 	if _, err := l.cfg.Store.Get(ctx, job.LeaderKey); !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
 	sent := clock.Now() // the lease may run from the arrival of the call
+	previous := l.vacated
+	if last.Rev == 0 || previous.term != runner.Term(last.Rev) {
+		previous = vacancy{since: sent, at: sent}
+	}
 	lease, ttl, err := l.cfg.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return errors.Wrap(err, "campaign")
@@ -86,10 +101,8 @@
 	if err != nil {
 		return errors.Wrap(err, "campaign")
 	}
-	last, err := l.cfg.Store.Get(ctx, job.TermKey)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
-		return errors.Wrap(err, "campaign")
-	}
+	l.contending.Store(true)
+	defer l.contending.Store(false)
 	rev, err := l.cfg.Store.Commit(ctx, kv.Txn{
 		Conds:  []kv.Cond{{Key: job.LeaderKey}, {Key: job.TermKey, Rev: last.Rev}},
 		Writes: []kv.Write{{Key: job.LeaderKey, Value: value, Lease: lease}, {Key: job.TermKey, Value: value}},
@@ -112,27 +125,7 @@
 		return errors.Wrap(err, "campaign")
 	}
 	l.setHolder(&l.cfg.Self)
-	return l.lead(ctx, runner.Term(rev), lease, ttl, sent, l.decodePrevious(last))
-}
-
-// previousTerm is the term before this one.
-type previousTerm struct {
-	Holder
-	id runner.Term
-}
-
-// decodePrevious decodes the record of the previous term. It returns nil if there is
-// none.
-func (l *Leader) decodePrevious(it kv.Item) *previousTerm {
-	if it.Rev == 0 {
-		return nil
-	}
-	var h Holder
-	if err := cbor.Unmarshal(it.Value, &h); err != nil {
-		l.cfg.Logger.Log("msg", "record of the previous term decoding failed", "rev", int64(it.Rev), "err", err)
-		return nil
-	}
-	return &previousTerm{Holder: h, id: runner.Term(it.Rev)}
+	return l.lead(ctx, runner.Term(rev), lease, ttl, sent, previous, l.decodePrevious(last))
 }
 
 const (
@@ -152,32 +145,38 @@
 	return min(time.Duration(float64(campaignDelay)/l.cfg.RelativeCapacity), maxCampaignDelay)
 }
 
-// lead runs one term until the leadership is lost or the context ends.
-func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, requested clock.BootTime, previous *previousTerm) error {
+// lead runs one term until the leadership is lost or the context ends. Its lease was
+// requested at a time.
+func (l *Leader) lead(ctx context.Context, termID runner.Term, lease kv.Lease, ttl time.Duration, requested clock.BootTime, v vacancy, previous *previousTerm) error {
 	logger := log.With(l.cfg.Logger, "term", int64(termID))
-	logger.Log("msg", "term started", "ttl", ttl)
+	now := clock.Now()
+	logger.Log("msg", "term started", "ttl", ttl, "vacant", now.Sub(v.at))
 	limits := l.cfg.Limits
 	// The last command of a previous leader may extend a runner's lease by the
-	// maximum lease time, plus 1/20 because the runner's clock may be slow.
-	limits.RunnerTakeover = RenewDeadline + limits.MaxRunnerLease + limits.MaxRunnerLease/20
+	// maximum lease time, plus 1/20 because the runner's clock may be slow. It had
+	// renewed its own lease before the end of its term.
+	limits.RunnerTakeover = RenewDeadline + commandTransit + limits.MaxRunnerLease + limits.MaxRunnerLease/20 - now.Sub(v.at)
 	// A previous leader sends commands to machines only while its lease is
 	// certain to be valid.
 	limits.MachineTakeover += leaseTTL
 	tctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := &term{
-		cfg: &l.cfg, id: termID, lease: lease, ttl: ttl, logger: logger, end: cancel, campaignedAt: requested, previous: previous,
-		wakeup: make(chan struct{}, 1), policyQueries: make(chan sched.PolicyQuery, policyQueueSize), pollers: make(map[runner.ID]chan struct{}), pollerCount: &l.polledRunners,
+		cfg: &l.cfg, id: termID, lease: lease, ttl: ttl, logger: logger, end: cancel, vacancy: v, previous: previous,
+		wakeup: make(chan struct{}, 1), listWakeup: make(chan struct{}, 1), policyQueries: make(chan sched.PolicyQuery, policyQueueSize), pollers: make(map[runner.ID]chan struct{}), pollerCount: &l.polledRunners,
 		machineLimiter: rate.NewLimiter(l.cfg.MachineCommandRate, machineBurst),
-		state:          sched.New(termID, clock.Now(), limits, logger),
+		state:          sched.New(termID, now, limits, logger),
 	}
 	t.renewed.Store(int64(requested))
+	l.running.Store(t)
+	defer l.running.Store(nil)
 	// The state of the leader is long-lived, and collecting it costs time that
 	// decisions wait for. Other daemons keep the default and a small heap.
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	t.run(tctx, func() {
 		l.current.Store(t)
 		l.DaemonReplied(l.cfg.Self.Name, l.cfg.Self.Incarnation, clock.Now())
+		t.spawn(func() { l.askPrevious(tctx, t) })
 	})
 	l.current.Store(nil)
 	logger.Log("msg", "term ended", "why", context.Cause(tctx))
--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -99,6 +99,9 @@
 	if t.previous != nil && runner.Term(it.Rev) < t.previous.id {
 		t.previous = nil // which runners it had reached is not known
 	}
+	if t.previous != nil && t.previous.StartDeadline > 0 {
+		t.state.PreviousStartsEnded(t.vacancy.at.Add(t.previous.StartDeadline+commandTransit), t.vacancy.earlierUntil())
+	}
 }
 
 // addJob adds an accepted job to the state.
@@ -227,6 +230,7 @@
 	for _, id := range t.state.UnregisteredRunners() {
 		t.ensurePolled(ctx, id)
 	}
+	t.wakeLister()
 	return rev, nil
 }
 
@@ -289,6 +293,7 @@
 		if e.Deleted {
 			id := e.Key[len(t.cfg.Registry.Prefix):]
 			t.state.DeregisterRunner(runner.ID(id), clock.Now())
+			t.wakeLister()
 			continue
 		}
 		t.applyRunner(ctx, e.Item)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -32,6 +32,13 @@
 	// RenewDeadline is how long a leader sends commands to runners without
 	// having renewed its lease.
 	RenewDeadline = 5 * time.Second
+	// StartDeadline is the same for starts. A start may reach a later incarnation of its
+	// runner, which does not reject it, so that the next leader waits for the last one
+	// before it takes a runner's absence from the list of machines for its end.
+	StartDeadline = 4 * time.Second
+	// commandTransit is the time in which a command arrives that was sent just in time,
+	// and covers the different speeds of two hosts' clocks.
+	commandTransit = 100 * time.Millisecond
 	// leaderWatchTimeout bounds one call to the watch of the leader key.
 	leaderWatchTimeout = 2 * time.Second
 	// retryDelay follows a failed call to the store.
@@ -43,6 +50,9 @@
 	Name        string         `cbor:"1,keyasint"`
 	Addr        netip.AddrPort `cbor:"2,keyasint"`
 	Incarnation string         `cbor:"3,keyasint"`
+	// StartDeadline is that of the process, which New sets. Earlier versions have none,
+	// and start tasks until RenewDeadline.
+	StartDeadline time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Registry describes where runners are registered in the store.
@@ -80,6 +90,10 @@
 	MachineCommandRate rate.Limit
 	// Policy is nil where the platform has no policy service.
 	Policy Policy
+	// Peers is nil if other daemons cannot be asked.
+	Peers Peers
+	// CommandTime is how long after it was sent a command may begin at a relay.
+	CommandTime time.Duration
 	// CurrentConfig returns the active configuration, or nil.
 	CurrentConfig func() *job.Config
 	Limits        sched.Limits
@@ -97,7 +111,10 @@
 type Leader struct {
 	cfg     Config
 	holder  atomic.Pointer[Holder]
-	current atomic.Pointer[term]
+	current atomic.Pointer[term] // nil until the state is loaded
+	// contending is set while a term of this process may begin or goes on.
+	contending atomic.Bool
+	running    atomic.Pointer[term] // the term that goes on; nil if none is known to
 	// polledRunners is the number of runners that the current term polls.
 	polledRunners atomic.Int64
 	mu            sync.Mutex
@@ -106,11 +123,13 @@
 	// yieldUntil is the boot-clock time before which the daemon does not
 	// campaign.
 	yieldUntil atomic.Int64
+	vacated    vacancy // the last one that was seen; only Run uses it
 	done       chan struct{}
 }
 
 // New returns a leader that is not running yet.
 func New(c Config) *Leader {
+	c.Self.StartDeadline = StartDeadline
 	return &Leader{cfg: c, changed: make(chan struct{}), done: make(chan struct{})}
 }
 
@@ -162,48 +181,6 @@
 	return ctx.Err()
 }
 
-// daemonReply is the last reply of a process of a daemon to this one.
-type daemonReply struct {
-	incarnation string
-	at          clock.BootTime // the reply came at this time or later
-}
-
-// DaemonReplied records that a process of a daemon replied to this one at or after
-// a time.
-func (l *Leader) DaemonReplied(name, incarnation string, at clock.BootTime) {
-	if incarnation == "" {
-		return // a daemon of an earlier version
-	}
-	l.mu.Lock()
-	if l.replies == nil {
-		l.replies = make(map[string]daemonReply)
-	}
-	l.replies[name] = daemonReply{incarnation, at}
-	l.mu.Unlock()
-	if t := l.current.Load(); t != nil {
-		l.checkPrevious(t)
-	}
-}
-
-// checkPrevious tells the state if the process of the previous leader has ended:
-// another process of that daemon has replied since its term.
-func (l *Leader) checkPrevious(t *term) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.previous == nil {
-		return
-	}
-	l.mu.Lock()
-	r, ok := l.replies[t.previous.Name]
-	l.mu.Unlock()
-	if !ok || r.incarnation == t.previous.Incarnation || !r.at.After(t.campaignedAt) {
-		return
-	}
-	t.logger.Log("msg", "process of the previous leader has ended", "leader", t.previous.Name, "incarnation", t.previous.Incarnation, "present", r.incarnation, "after", r.at.Sub(t.campaignedAt))
-	t.previous = nil
-	t.state.PreviousLeaderEnded(r.at)
-}
-
 // Query returns the status of a job. The bool reports whether this daemon leads;
 // if it does not, the status is empty.
 func (l *Leader) Query(id job.ID) (sched.Status, bool) {
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -30,6 +30,7 @@
 	// sent; until the first one, at which the lease was requested.
 	renewed       atomic.Int64
 	wakeup        chan struct{}
+	listWakeup    chan struct{} // see wakeLister
 	policyQueries chan sched.PolicyQuery
 	// machineLimiter limits commands to what the machines' API accepts.
 	machineLimiter *rate.Limiter
@@ -43,7 +44,7 @@
 	rosterRev       kv.Revision
 	recordsStoredAt clock.BootTime
 	intentsRev      kv.Revision
-	campaignedAt    clock.BootTime // the previous term had ended by then
+	vacancy         vacancy // before this term
 	// previous had the leader key in the previous term; nil if that is not known, or
 	// if its process is known to have ended.
 	previous      *previousTerm
@@ -154,6 +155,12 @@
 	}
 }
 
+// sendDeadline returns the time from which on commands of a kind with the given
+// deadline are not sent to runners unless the lease has been renewed again.
+func (t *term) sendDeadline(deadline time.Duration) clock.BootTime {
+	return clock.BootTime(t.renewed.Load()).Add(deadline)
+}
+
 // notify wakes up the planner.
 func (t *term) notify() {
 	select {
--- a/internal/relay/expiry.go
+++ b/internal/relay/expiry.go
@@ -26,7 +26,7 @@
 	maxClockRate = (1 + maxSlew) / (1 - maxSlew)
 	// maxExchange bounds the exchange that relates the clocks at the start of a
 	// connection. After a longer one, a command would expire before it arrives.
-	maxExchange = commandTimeout
+	maxExchange = CommandTimeout
 	// readingPeriod is the pause between two messages of a relay without results.
 	// They keep the reading of a relay without calls recent, so that its first
 	// call does not expire by the allowance for the rates of the clocks.
@@ -84,9 +84,11 @@
 	return errExpired
 }
 
-// context returns a context that ends at the expiry.
+// context returns a context that ends at the expiry, and with which nothing is sent
+// to a runner after it.
 func (e *expiry) context(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, e.remaining())
+	d := e.remaining()
+	return context.WithTimeout(runner.WithSendDeadline(ctx, clock.Now().Add(d)), d)
 }
 
 // batch counts the commands of one message that expired, for one log line.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -37,7 +37,9 @@
 	commands       []Command
 	previous       *modelLeader // whose term came before
 	rosterBy       runner.Term  // who had stored the roster that it inherited
-	missed         *modelRunner // the last list of machines missed it
+	began          clock.BootTime
+	open           map[runner.ID]bool // whose inherited entry the previous leader had open, and which have not replied
+	missed         *modelRunner       // the last list of machines missed it
 }
 
 // delayed is a command that reaches its runner later.
@@ -99,10 +101,14 @@
 }
 
 // elect starts a term without notifying the previous leader.
-func (m *model) elect() {
+func (m *model) elect() { m.electAfter(0) }
+
+// electAfter starts a term some time after the previous leader has lost its key.
+func (m *model) electAfter(vacant time.Duration) {
+	m.pass(vacant)
 	m.rev++
-	l := &modelLeader{term: runner.Term(m.rev), store: true, lastStoreReply: m.now, reach: make(map[*modelRunner]bool), broken: make(map[*modelRunner]bool)}
-	limits := Limits{MaxRunnerLease: modelMaxLease, OutcomeRetention: time.Hour, RunnerTakeover: modelStopTimeout + modelMaxLease + modelMaxLease/20}
+	l := &modelLeader{began: m.now, term: runner.Term(m.rev), store: true, lastStoreReply: m.now, reach: make(map[*modelRunner]bool), broken: make(map[*modelRunner]bool)}
+	limits := Limits{MaxRunnerLease: modelMaxLease, OutcomeRetention: time.Hour, RunnerTakeover: modelStopTimeout + modelMaxLease + modelMaxLease/20 - vacant}
 	if m.weaken == "takeover" {
 		limits.RunnerTakeover = 0
 	}
@@ -119,6 +125,7 @@
 	}
 	if len(m.leaders) > 0 {
 		l.previous, l.rosterBy = m.newest(), m.rosterBy
+		m.endStarts(l, vacant)
 	}
 	m.leaders = append(m.leaders, l)
 	if len(m.leaders) > m.maxLeaders {
@@ -126,6 +133,23 @@
 	}
 }
 
+// endStarts tells a leader when the previous one, which had stored the roster, starts no
+// more tasks.
+func (m *model) endStarts(l *modelLeader, vacant time.Duration) {
+	if l.rosterBy != l.previous.term {
+		return
+	}
+	at, earlier := m.now.Add(modelStartTimeout-vacant), l.previous.began.Add(modelStopTimeout)
+	if m.weaken == "starts" {
+		at, earlier = m.now, m.now
+	}
+	l.s.PreviousStartsEnded(at, earlier)
+	l.open = make(map[runner.ID]bool)
+	for _, e := range m.roster {
+		l.open[e.ID] = !e.Closed && e.Remaining == 0
+	}
+}
+
 func (m *model) newest() *modelLeader { return m.leaders[len(m.leaders)-1] }
 
 func (m *model) leader() *modelLeader {
@@ -231,7 +255,7 @@
 		l.previous.stopped, l.previous.commands = true, nil
 	}
 	if l.rosterBy == l.previous.term || m.weaken == "author" {
-		l.s.PreviousLeaderEnded(m.now)
+		l.s.PreviousLeaderEnded(m.now, l.previous.began.Add(modelStopTimeout))
 	}
 }
 
@@ -275,9 +299,9 @@
 
 // cutLeader cuts the newest leader off the store, and elects another one, which does
 // not reach one of the runners.
-func (m *model) cutLeader(*rapid.T) {
+func (m *model) cutLeader(t *rapid.T) {
 	m.newest().store = false
-	m.elect()
+	m.electAfter(time.Duration(rapid.IntRange(0, 2000).Draw(t, "vacant ms")) * time.Millisecond)
 	m.newest().reach[m.runner()] = false
 }
 
@@ -336,6 +360,9 @@
 		return
 	}
 	c := l.commands[0]
+	if c.Kind == StartRun && m.now.Sub(l.lastStoreReply) > modelStartTimeout {
+		return
+	}
 	l.commands = l.commands[1:]
 	start, needed := l.s.Prepare(&c, m.now)
 	if !needed {
@@ -355,9 +382,10 @@
 		m.rejected(l, c.To)
 		return
 	}
-	if l != m.newest() && r.incarnation != l.s.runners[r.id].Incarnation {
+	if l != m.newest() && r.incarnation != l.s.runners[r.id].Incarnation && !m.newest().open[r.id] {
 		// Left out: only the fence that the restart has forgotten keeps a former
-		// leader from an incarnation that it takes for the previous one.
+		// leader from an incarnation that it takes for the previous one, unless the
+		// newest leader waits for the runner.
 		l.commands = append(l.commands, c)
 		return
 	}
@@ -522,7 +550,7 @@
 // checkLeaders runs the model with leaders that are cut off one after the other while
 // they work; weaken names a safeguard to leave out: "ended", waiting for the previous
 // leader while its process may go on; "author", waiting for a leader before that one,
-// which stored the roster; "pages", looking at a second list of machines.
+// which stored the roster.
 func checkLeaders(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newModel(t, weaken, true)
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -65,7 +65,10 @@
 	incarnation runner.Incarnation
 	machine     string
 	until       clock.BootTime // no run of a previous term outlasts this time
-	tasks       []job.Task
+	// lastStart is the time after which no previous leader starts tasks on the runner, or
+	// on a later incarnation that it takes for this one.
+	lastStart clock.BootTime
+	tasks     []job.Task
 }
 
 const (
@@ -80,22 +83,27 @@
 // InheritRoster adds the roster of previous terms. It must be called before the
 // first plan of the term.
 func (s *State) InheritRoster(entries []RosterEntry) {
+	latest := s.startedAt.Add(s.Limits.RunnerTakeover)
 	for _, e := range entries {
 		if e.equal(unreportedMark) && e.ID == unreportedMark.ID {
 			s.expiredUnreached = true
 			continue
 		}
-		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: latest}
 		in.reached = !e.Closed && e.Remaining == 0
 		if !in.reached {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
 		}
+		if !in.closed {
+			in.until = min(in.until, latest) // Remaining is rounded up in each term
+		}
+		in.lastStart = in.until.Add(-s.leaseTime())
 		for _, name := range e.Tasks {
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
 				in.closed, in.reached = false, false
-				in.until = s.startedAt.Add(s.Limits.RunnerTakeover)
+				in.until, in.lastStart = latest, latest.Add(-s.leaseTime())
 				continue
 			}
 			in.tasks = append(in.tasks, t)
@@ -117,11 +125,12 @@
 	s.RosterStored(entries)
 }
 
-// PreviousLeaderEnded records that the process of the previous leader had ended at a
-// time. It extended no lease after that, and the runners that it had reached reject
-// the commands of earlier leaders.
-func (s *State) PreviousLeaderEnded(at clock.BootTime) {
-	until := at.Add(s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20) // a runner's clock may be slow
+// PreviousLeaderEnded records that the previous leader sends no commands after a time.
+// The runners that it had reached reject those of earlier leaders, which may last until
+// the other time; a later incarnation does not.
+func (s *State) PreviousLeaderEnded(at, earlier clock.BootTime) {
+	s.PreviousStartsEnded(at, earlier)
+	until := at.Add(s.leaseTime())
 	n := 0
 	for _, in := range s.inherited {
 		if in.reached && in.until.After(until) {
@@ -132,11 +141,27 @@
 	s.Logger.Log("msg", "wait for runners of the previous term shortened", "runners", n, "left", until.Sub(at))
 }
 
+// PreviousStartsEnded records that the previous leader starts no tasks after a time, and
+// those before it none after the other.
+func (s *State) PreviousStartsEnded(at, earlier clock.BootTime) {
+	for _, in := range s.inherited {
+		if in.reached {
+			in.lastStart = min(in.lastStart, max(at, earlier))
+		}
+	}
+}
+
+// leaseTime returns the longest time for which a lease lasts that a command extends.
+func (s *State) leaseTime() time.Duration {
+	return s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20 // a runner's clock may be slow
+}
+
 // InheritUnknownRoster records that the roster of previous terms cannot be read:
 // tasks that were accepted before this term may run on unknown runners until
 // their leases have expired.
 func (s *State) InheritUnknownRoster() {
-	s.inherited[""] = &inherited{until: s.startedAt.Add(s.Limits.RunnerTakeover)}
+	until := s.startedAt.Add(s.Limits.RunnerTakeover)
+	s.inherited[""] = &inherited{until: until, lastStart: until.Add(-s.leaseTime())}
 }
 
 // UnregisteredRunners returns the runners that have no entry in the store, such
