sched: start long-running tasks on runners with a withheld result

A long-running task waited for ever beside free runners, and with it the callers of its service: once a result is withheld, its runner was given no run in its present life. Each cut after which a task was started again while its first run had ended takes one runner out of use that way, and no later leader can tell that it may be used. Only where there is a standby pool, and no long-running task on the runner, is the machine powered off to end that.

The reason for the rule is that no later result of the runner can be acknowledged. A long-running task is never done, so that nothing depends on the acknowledgment of its results. The runner is held, so that it gets long-running tasks only, unless it can be powered off once its present runs have ended.

TestWithheldRunnerUnused failed before: the task waits in a pool without standby, and beside a long-running task where there is one; a batch task must still not start. The case "withheld" of TestWaitingTaskHidesUnusable relied on the pool without standby; it has one now, and a batch run that keeps the machine from leaving.

--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -121,8 +121,8 @@
 // started again since, with the attempt started, because the lease of the run had
 // expired as far as this leader could tell. If the result were acknowledged, the
 // later run would break the rule that a task that is done does not run again;
-// unacknowledged, the result never counts. The runner is not used again in this
-// incarnation, because none of its later results can be acknowledged.
+// unacknowledged, the result never counts. The runner is given no batch tasks again in
+// this incarnation, because none of its later results can be acknowledged.
 func (s *State) withhold(rs *runnerState, res *runner.RunResult, started int) {
 	if rs.withheld != 0 || started <= res.Attempt {
 		return
--- a/internal/sched/usability.go
+++ b/internal/sched/usability.go
@@ -1,6 +1,9 @@
 package sched
 
-import "gypsumtrestle.example/gypsumtrestle/internal/clock"
+import (
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+)
 
 // usability is whether new runs may be started on a runner and, if not, why.
 type usability int
@@ -41,7 +44,7 @@
 		return isCordoned
 	case rs.announced != nil:
 		return restartAnnounced
-	case rs.withheld != 0:
+	case rs.withheld != 0 && !s.takesLongRunning(rs, now):
 		return resultWithheld
 	case !s.rostered[rs.ID]:
 		return notInRoster
@@ -51,6 +54,29 @@
 	return isUsable
 }
 
+// takesLongRunning reports whether long-running tasks, whose results need no
+// acknowledgment, are started on a runner with a withheld result: it is held, so that it
+// is given no others, and cannot be powered off, which would end that.
+func (s *State) takesLongRunning(rs *runnerState, now clock.BootTime) bool {
+	return rs.heldUntil.After(now) && !s.canPowerOff(rs, now)
+}
+
+// canPowerOff reports whether the machine of a runner with a withheld result can be
+// powered off once its present runs have ended.
+func (s *State) canPowerOff(rs *runnerState, now clock.BootTime) bool {
+	standby, ms := s.standbyPool(), s.machineStates[machine.ID(rs.Machine)]
+	return standby != "" && ms != nil && rs.longRunning == 0 && s.machinesCurrent(now) && s.movable(ms, standby, now)
+}
+
+// holdWithheld holds the runners with a withheld result.
+func (s *State) holdWithheld(now clock.BootTime) {
+	for _, rs := range s.runners {
+		if rs.withheld != 0 {
+			rs.heldUntil = now.Add(holdTime)
+		}
+	}
+}
+
 // usable reports whether new runs may be started on a runner.
 func (s *State) usable(rs *runnerState, now clock.BootTime) bool {
 	return s.usability(rs, now) == isUsable
--- a/internal/sched/waiting_test.go
+++ b/internal/sched/waiting_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // TestWaitingTaskUnreported guards against a long-running task that has no run
@@ -56,7 +59,13 @@
 	}{
 		"unreachable": {func(f *fixture) { f.s.PollFailed("a", f.now) }, " unusable 1 unreachable 1"},
 		"draining":    {func(f *fixture) { f.s.runners["a"].Draining = true }, " unusable 1 draining 1"},
-		"withheld":    {func(f *fixture) { f.s.runners["a"].withheld = 1 }, " unusable 1 withheld 1"},
+		"withheld": {func(f *fixture) {
+			f.s.runners["a"].withheld = 1
+			f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+				[]*job.Service{{Name: "pool", EnforcesCapacity: true}, {Name: "off", Standby: true}}, job.Limits{}))
+			f.s.SetMachines([]machine.Machine{{ID: "m-a", Pool: "pool", Runner: "a"}}, f.now)
+			f.report("a", runner.Run{Task: job.Task{Job: f.job(2, job1)}, Attempt: 1, Percent: 100}) // it cannot be powered off yet
+		}, " unusable 1 withheld 1"},
 		"not in roster": {func(f *fixture) {
 			f.s.storedRoster = nil
 			clear(f.s.rostered)
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -178,6 +178,7 @@
 		s.planWave(s.waves[n], now)
 	}
 	s.holdRunners(now)
+	s.holdWithheld(now)
 }
 
 func (s *State) planWave(w *wave, now clock.BootTime) {
--- a/internal/sched/withhold_test.go
+++ b/internal/sched/withhold_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -150,3 +151,31 @@
 		t.Error("the task is started before the store holds its attempt")
 	}
 }
+
+// TestWithheldRunnerUnused guards against a long-running task that waits for ever,
+// because each runner with room has a result that is not acknowledged, which ends only
+// with the runner.
+func TestWithheldRunnerUnused(t *testing.T) {
+	for name, standby := range map[string]bool{"no standby pool": false, "in use for others": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.runner("a")
+			if standby {
+				f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+					[]*job.Service{{Name: "pool", EnforcesCapacity: true}, {Name: "off", Standby: true}}, job.Limits{}))
+				f.s.SetMachines([]machine.Machine{{ID: "m-a", Pool: "pool", Runner: "a"}}, f.now)
+				f.job(1, job.Step{LongRunning: true})
+				f.settle(2)
+			}
+			f.s.runners["a"].withheld = 1
+			batch, lasting := f.job(2, job1), f.job(3, job.Step{LongRunning: true})
+			f.settle(50)
+			if f.waitingTasks(lasting) > 0 {
+				t.Error("a long-running task waits beside free room")
+			}
+			if f.waitingTasks(batch) == 0 {
+				t.Error("a batch task is started, whose result will not be acknowledged")
+			}
+		})
+	}
+}
