sched: cancel a move of a machine that has got long-running tasks

A machine could stay between two pools for as long as a long-running task lasts: its runner was cordoned in the one, and the machine counted as arriving in the other, which then got no other one for the tasks that waited there. A wave left the machine out as well. The cordon ends while the list of machines is out of date, so that tasks are started on a runner whose move had no reply. Afterwards the move was still planned, and waited for the runs of the machine to end.

The move is now cancelled if long-running tasks run there and its last command cannot be carried out any more, at the latest MachineTakeover after it. Until then the runner stays cordoned.

--- a/internal/sched/cordon.go
+++ b/internal/sched/cordon.go
@@ -22,8 +22,22 @@
 		return
 	}
 	for _, ms := range s.machineStates {
-		if rs := s.movingRunner(ms); rs != nil {
-			rs.cordoned = true
+		rs := s.movingRunner(ms)
+		if rs == nil {
+			continue
+		}
+		if rs.longRunning > 0 && s.canCancelMove(ms, now) {
+			s.Logger.Log("msg", "machine move cancelled", "machine", ms.ID, "pool", ms.movingTo, "runner", rs.ID, "long_running", rs.longRunning)
+			ms.movingTo, ms.notBefore = "", now.Add(rejectedMoveDelay)
+			continue
 		}
+		rs.cordoned = true
 	}
 }
+
+// canCancelMove reports whether no command for the planned move of a machine can be
+// carried out any more. The move would wait for the runs of the machine to end.
+func (s *State) canCancelMove(ms *machineState, now clock.BootTime) bool {
+	end := s.lastCommandEnd[ms.ID]
+	return !ms.sent && (end == 0 || now.Sub(end) > s.Limits.MachineTakeover)
+}
