sched: end the throttle of a former leader, or after a lost command

A best-effort task that one leader had slowed down, or halted, stayed so under the next ones for the rest of its run, however idle its runner was. The same happened within a term if the command that ended the throttle was lost or rejected. A task that is slowed down is also not available, so that the others of its step were not moved off runners that leave. In the other direction a task went on at full speed beside one above its target, since its leader took it for halted.

Each leader assumed that an adopted run works at full speed, and that a command that it had sent took effect.

TestThrottleLost failed before: 0% under the next leader and 55% after a lost command, after 10 s without any latency-sensitive task.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -196,6 +196,9 @@
 		// Started by a previous term, so that the report does not date its start.
 		r.confirmedAt = now.Add(-crash.FreshFor)
 	}
+	if t.step.spec.BestEffort {
+		r.throttle = min(max(reported.Percent, 0), 100)
+	}
 	rs.add(r)
 	t.attempt = max(t.attempt, reported.Attempt)
 	js.started = true
--- a/internal/sched/throttle.go
+++ b/internal/sched/throttle.go
@@ -35,7 +35,7 @@
 
 // throttleBestEffort slows down the best-effort tasks beside latency-sensitive
 // tasks that exceed their target, and speeds them up again when the latency is
-// low.
+// low. It repeats the command for a task that its runner reports at another throttle.
 func (s *State) throttleBestEffort(now clock.BootTime) {
 	for _, rs := range s.runners {
 		if rs.unreachable || !rs.replied {
@@ -81,10 +81,12 @@
 		percent = min(percent+throttleStep, 100)
 	case unchanged:
 	}
-	if percent == r.throttle {
+	// A command may have been lost, and a former leader may have set another throttle.
+	differs := r.percent != r.throttle && now.Sub(max(r.throttledAt, r.confirmedAt)) > throttleInterval
+	if percent == r.throttle && !differs {
 		return
 	}
-	s.Logger.Log("msg", "best-effort throttle changed", "task", r.task.name, "runner", r.runner.ID, "from", r.throttle, "to", percent)
+	s.Logger.Log("msg", "best-effort throttle changed", "task", r.task.name, "runner", r.runner.ID, "from", r.throttle, "reported", r.percent, "to", percent)
 	r.throttle, r.throttledAt = percent, now
 	s.commands = append(s.commands, Command{
 		Kind: ThrottleRun, To: r.runner.target(), incarnation: r.runner.Incarnation,
--- a/internal/sched/throttle_test.go
+++ b/internal/sched/throttle_test.go
@@ -130,3 +130,36 @@
 		})
 	}
 }
+
+// TestThrottleLost guards against a best-effort task that is slowed down without end
+// by a former leader, or because the command that ends it was lost.
+func TestThrottleLost(t *testing.T) {
+	for name, start := range map[string]func(f *fixture) (job.Task, int){
+		"former leader": func(f *fixture) (job.Task, int) {
+			f.s.SetRunner(info("a", "pool"), f.now)
+			return job.Task{Job: f.job(1, job.Step{LongRunning: true, BestEffort: true})}, 0
+		},
+		"lost command": func(f *fixture) (job.Task, int) {
+			f.runner("a")
+			f.job(1, job.Step{LongRunning: true, BestEffort: true})
+			c := ofKind(f.plan(), StartRun)
+			f.accept(c)
+			return c[0].Task, 55
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			task, percent := start(f)
+			for range 100 {
+				f.now += second / 10
+				f.report("a", runner.Run{Task: task, Attempt: 1, Percent: percent, ReportsLoad: true})
+				for _, c := range ofKind(f.plan(), ThrottleRun) {
+					percent = c.Percent
+				}
+			}
+			if percent != 100 {
+				t.Errorf("the task runs at %d%% after 10 s without any latency-sensitive task", percent)
+			}
+		})
+	}
+}
