sched: use a machine again once its runner replies after the maintenance

A machine that had returned from its maintenance stayed out of use after a change of the leader: MaintenanceTime and five seconds if the former leader knew that the command was accepted and no machines could be listed, and as long, after the wait for commands of the former leader, if the reply had been lost. The new leader repeats such a command, the machine accepts it as carried out, and the leader waited for an incarnation of the runner after the present one, which does not come.

An accepted command has ended all processes of the machine. A runner that replies to a poll sent half a second or more after that was known has started since, or the command had been carried out before.

TestReturnedMachineUnused failed before: a long-running task waits for more than 2 s beside a runner that replies all the time, in both cases.

--- /dev/null
+++ b/internal/sched/maintenance_test.go
@@ -0,0 +1,33 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+)
+
+// TestReturnedMachineUnused guards against a machine that the next leader keeps out of
+// use though it has returned from its maintenance, while no machines can be listed.
+func TestReturnedMachineUnused(t *testing.T) {
+	for name, in := range map[string]Intent{"accepted": {AcceptedWave: 1}, "without a reply": {Term: 1, PendingWave: 1}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.s.Limits.MaintenanceTime = 4 * time.Second
+			f.s.IntentsStored(map[machine.ID]Intent{"m-a": in})
+			f.runner("a")
+			f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+			lasting := f.job(1, job.Step{LongRunning: true})
+			for begin := f.now; f.now.Sub(begin) < 2*time.Second; f.now += second / 10 {
+				f.report("a", f.running(f.s.runners["a"])...)
+				for _, c := range f.maintenances() {
+					f.s.HandleMachineReply(&c, machine.Accepted, true, f.now)
+				}
+			}
+			if f.waitingTasks(lasting) > 0 {
+				t.Error("a long-running task waits for 2 s, while the runner of the machine replies")
+			}
+		})
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -102,6 +102,7 @@
 	}
 	first := !rs.replied
 	rs.replied, rs.unreachable, rs.unreported, rs.lastReply = true, false, false, now
+	rs.polledAt = max(rs.polledAt, sent)
 	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -64,6 +64,7 @@
 	abandoned        []abandonedRun
 	unreported       bool // runs were abandoned, of which it has not reported the results
 	lastReply        clock.BootTime
+	polledAt         clock.BootTime // when the latest poll with a reply was sent
 	lostAt           clock.BootTime // when it last counted as lost; zero: never
 }
 
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -50,6 +50,10 @@
 	// noRunnerTimeout is the same for a machine whose return no runner shows: it
 	// had none before its maintenance, or it moves to the standby pool.
 	noRunnerTimeout = 500 * time.Millisecond
+	// endDelay is how long after the reply to a maintenance command a runner that the
+	// command has ended may still reply. One that replies later has started since, or
+	// the command had been carried out before.
+	endDelay = 500 * time.Millisecond
 	// drainTimeout is how long a machine may wait for its runs to end before
 	// they are stopped, if the wave is urgent.
 	drainTimeout = 4 * time.Second
@@ -309,7 +313,7 @@
 	case down:
 		if m.incarnation == math.MaxInt64 && s.listedUp(m.id) {
 			m.phase = returned
-		} else if rs != nil && rs.replied && rs.Incarnation > m.incarnation {
+		} else if rs != nil && rs.replied && (rs.Incarnation > m.incarnation || rs.polledAt.After(m.since.Add(endDelay))) {
 			m.phase = returned
 			s.Logger.Log("msg", "machine returned from maintenance", "machine", m.id, "wave", m.wave.Number, "runner", rs.ID, "took", now.Sub(m.since))
 		} else if m.runner == "" && now.Sub(m.since) > s.Limits.MaintenanceTime+noRunnerTimeout {
