sched: release the machines of earlier terms

Each new leader waited for MachineTakeover before it moved or maintained a machine to which any leader before it had sent a command, also one that had ended many terms ago. An intent was released only by the term that stored it, or replaced by a later command for the same machine.

A term now releases the intents of earlier ones once it may send commands itself, except for a maintenance that may have begun and has yet to be repeated.

TestIntentOfEarlierTermKept failed before: the intents of a move and of an accepted maintenance were still stored 6 s into the next term, with a MachineTakeover of 5 s.

--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -21,13 +21,17 @@
 
 // Intents returns a copy of all intents, and whether they differ from the
 // stored ones. Machines that have not been sent a command for a while are
-// released, so that a later term need not wait for them.
+// released, so that a later term need not wait for them, unless a previous term may
+// have begun a maintenance that this one has yet to repeat.
 func (s *State) Intents(now clock.BootTime) (map[machine.ID]Intent, bool) {
 	for id, in := range s.intents {
 		if in.Term == s.Term && s.lastCommandEnd[id] != 0 && now.Sub(s.lastCommandEnd[id]) > s.Limits.MachineTakeover {
 			s.intents[id] = Intent{AcceptedWave: in.AcceptedWave}
 			delete(s.lastCommandEnd, id)
 		}
+		if in.Term != 0 && in.Term != s.Term && (in.PendingWave == 0 || in.PendingWave == in.AcceptedWave) && now.Sub(s.startedAt) > s.Limits.MachineTakeover {
+			s.intents[id] = Intent{AcceptedWave: in.AcceptedWave}
+		}
 	}
 	return maps.Clone(s.intents), !maps.Equal(s.intents, s.storedIntents)
 }
--- a/internal/sched/maintenance_test.go
+++ b/internal/sched/maintenance_test.go
@@ -31,3 +31,28 @@
 		})
 	}
 }
+
+// TestIntentOfEarlierTermKept guards against leaders that each wait for a machine to
+// which only one long before them had sent a command.
+func TestIntentOfEarlierTermKept(t *testing.T) {
+	for name, in := range map[string]Intent{"move": {Term: 1}, "accepted": {Term: 1, AcceptedWave: 1, PendingWave: 1}} {
+		f := newFixture(t, 2)
+		f.s.Limits.MachineTakeover = 5 * time.Second
+		f.s.IntentsStored(map[machine.ID]Intent{"m-a": in})
+		f.now += 4 * second
+		if got, _ := f.s.Intents(f.now); got["m-a"] != in {
+			t.Errorf("%s: intent %+v while a command of the previous leader may arrive, want %+v", name, got["m-a"], in)
+		}
+		f.now += 2 * second
+		if got, _ := f.s.Intents(f.now); got["m-a"].Term != 0 || got["m-a"].AcceptedWave != in.AcceptedWave {
+			t.Errorf("%s: intent %+v after that, want only the accepted wave", name, got["m-a"])
+		}
+	}
+	pending := Intent{Term: 1, PendingWave: 2, AcceptedWave: 1}
+	f := newFixture(t, 2)
+	f.s.IntentsStored(map[machine.ID]Intent{"m-a": pending})
+	f.now += second
+	if got, _ := f.s.Intents(f.now); got["m-a"] != pending {
+		t.Errorf("intent %+v of a maintenance that may be under way, want %+v", got["m-a"], pending)
+	}
+}
