sched: keep few policy queries for batch steps waiting

A long-running task on a queue with a policy was started again only once the policy service had decided on the batch steps that waited, up to 256 of them and one after the other; beyond that its own query was dropped and tried again beside theirs.

At most eight queries for batch steps are without a reply at a time. The service takes one at a time from each daemon, so that it is not idle with that, and the batch steps are chosen by the priority of the moment.

TestPolicyQueriesOfBatch failed before: with 200 batch tasks waiting there was no query for the long-running task within 200 decisions.

--- a/internal/sched/permit.go
+++ b/internal/sched/permit.go
@@ -19,6 +19,10 @@
 	// permitRetryDelay is the delay after a reply that allowed no runner, and
 	// after a failed query.
 	permitRetryDelay = 500 * time.Millisecond
+	// maxBatchQueries bounds the queries for batch steps that are sent and have no
+	// reply. The policy service takes them in turn, and long-running tasks wait behind
+	// them.
+	maxBatchQueries = 8
 )
 
 // permit allows the tasks of a step on one incarnation of a runner.
@@ -67,6 +71,9 @@
 	if q == nil || q.Policy == nil || st.permits.pending || st.permits.notBefore.After(now) {
 		return
 	}
+	if !st.spec.LongRunning && s.batchQueries >= maxBatchQueries {
+		return
+	}
 	i := slices.IndexFunc(st.tasks, func(t *task) bool { return s.startable(t, now) })
 	if i < 0 {
 		return
@@ -91,6 +98,9 @@
 	ids = ids[:min(len(ids), permitRunners)]
 	name := st.tasks[0].name.StepName()
 	st.permits.pending = true
+	if !st.spec.LongRunning {
+		s.batchQueries++
+	}
 	s.policyQueries = append(s.policyQueries, PolicyQuery{Step: name, Runners: ids, step: st})
 	s.Logger.Log("msg", "policy query sent", "step", name, "runners", len(ids))
 }
@@ -107,6 +117,9 @@
 func (s *State) HandlePolicyReply(q *PolicyQuery, allowed []AllowedRunner, valid time.Duration, sent, now clock.BootTime) {
 	p := &q.step.permits
 	p.pending = false
+	if !q.step.spec.LongRunning {
+		s.batchQueries--
+	}
 	if p.byRunner == nil {
 		p.byRunner, p.denied = make(map[runner.ID]permit), make(map[runner.ID]clock.BootTime)
 	}
--- a/internal/sched/permit_test.go
+++ b/internal/sched/permit_test.go
@@ -127,3 +127,31 @@
 	}
 	t.Errorf("task not started in %v, while batch tasks ended", lostBound)
 }
+
+// TestPolicyQueriesOfBatch guards against a long-running task that waits until the
+// policy service has decided on all batch tasks that wait.
+func TestPolicyQueriesOfBatch(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(job.NewConfig(2, []*job.Queue{{Name: "work", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: time.Second, Policy: &job.Policy{}}},
+		[]*job.Service{{Name: "pool", EnforcesCapacity: true}}, job.Limits{}))
+	f.runner("a")
+	for n := range 200 {
+		f.job(n+1, job1)
+	}
+	f.plan()
+	queued := f.s.PolicyQueries()
+	lasting := f.job(1000, job.Step{LongRunning: true})
+	for decided := range 200 {
+		f.plan()
+		queued = append(queued, f.s.PolicyQueries()...)
+		q := queued[0]
+		if queued = queued[1:]; q.step.occ.job.def.ID == lasting {
+			if decided > 20 {
+				t.Errorf("the policy service decides on %d batch tasks first", decided)
+			}
+			return
+		}
+		f.s.HandlePolicyReply(&q, nil, 0, f.now, f.now)
+	}
+	t.Error("no query for the long-running task within 200 decisions")
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -60,6 +60,7 @@
 	possiblyRunning  map[job.Task]bool // tasks of inherited closed entries
 	commands         []Command
 	policyQueries    []PolicyQuery
+	batchQueries     int // queries for batch steps without a reply
 	// dirty are the jobs whose progress must be stored, the longest waiting first.
 	dirty          []*jobState
 	closed         []*jobState // jobs with an outcome, the earliest first
