sched: stop stalled runs on runners that take no new ones

A run that uses no CPU kept its machine from leaving for a maintenance until the wave was urgent, and from a move to another pool without end, while that pool counted the machine as arriving. Stalled runs were looked for only on runners that take new runs, which one that leaves does not.

They are now looked for on all runners of a pool that reply. Only a runner that takes new runs is blocked for them, as before, so that a run that stays stalled does not extend the block.

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -38,7 +38,7 @@
 		}
 		s.place(runners, jobs, now)
 		if full {
-			s.stragglers(runners, now)
+			s.stragglers(svc, runners, now)
 		}
 	}
 	if full {
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -19,16 +19,20 @@
 	stallBlockDelay = 3 * time.Second
 )
 
-// stragglers handles stalled and slow runs. A stalled run is stopped and
-// started on another runner. A slow speculative task gets a copy if most of its
-// step is done; if the whole step is slow, its estimate was wrong.
-func (s *State) stragglers(runners []*runnerState, now clock.BootTime) {
-	for _, rs := range runners {
+// stragglers handles stalled and slow runs on all runners of a pool, given those that
+// take new runs. A stalled run is stopped and started on another runner. A slow
+// speculative task gets a copy if most of its step is done; if the whole step is
+// slow, its estimate was wrong.
+func (s *State) stragglers(pool string, runners []*runnerState, now clock.BootTime) {
+	for _, rs := range s.byPool[pool] {
+		if !rs.replied || rs.unreachable {
+			continue
+		}
 		for _, r := range rs.runs {
 			t := r.task
 			stalled := r.stalledSince != 0 && now.Sub(r.stalledSince) > stallTimeout
-			if stalled {
-				rs.blockedUntil = max(rs.blockedUntil, now.Add(stallBlockDelay))
+			if stalled && s.usable(rs, now) {
+				rs.blockedUntil = now.Add(stallBlockDelay)
 			}
 			slow := t.step.spec.Speculative && 2*t.step.done > len(t.step.tasks) && r.slow(now)
 			if !stalled && !slow || len(t.runs) > 1 || t.retried || t.crashes.Suspect {
