sched: keep no list of the failed runs of a long-running task

A long-running job whose tasks fail now and then ended as failed once the numbers of its failed runs no longer fitted into its record, which was also written whole, and longer, at each change. The list serves max-attempts, which such a task does not have. The runners on which a task failed were also listed once for each failure.

TestFailuresOfLongRunningTask failed before: 50 entries of each after 50 runs.

--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -99,3 +99,21 @@
 		t.Errorf("%d long-running tasks wait after %v, with both runners empty", n, lostBound)
 	}
 }
+
+// TestFailuresOfLongRunningTask guards against a long-running job that ends because the
+// list of its failed runs outgrows its record.
+func TestFailuresOfLongRunningTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{LongRunning: true})
+	for range 50 {
+		for _, c := range f.settle(1) {
+			f.end("a", c.Task, c.Attempt, runner.Failed)
+			f.report("a")
+		}
+	}
+	task := f.s.jobs[id].occurrence(0).steps[0].tasks[0]
+	if p := f.s.jobs[id].progress(); len(p.Tasks) != 1 || len(p.Tasks[0].Failed) > 1 || len(task.avoid) > 1 {
+		t.Errorf("progress %+v, runners to avoid %v after %d runs; want no entry for each run", p.Tasks, task.avoid, task.attempt)
+	}
+}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -176,11 +176,16 @@
 	if t.step.spec.Gang {
 		t = t.step.tasks[0] // the failures of a gang are counted on its first task
 	}
+	if !slices.Contains(t.avoid, on) {
+		t.avoid = append(t.avoid, on)
+	}
+	if t.step.spec.LongRunning {
+		return // it is run again however often it fails
+	}
 	if !slices.Contains(t.failed, attempt) {
 		t.failed = append(t.failed, attempt)
 	}
-	t.avoid = append(t.avoid, on)
-	if t.step.spec.LongRunning || t.done {
+	if t.done {
 		return
 	}
 	if len(t.failed) >= s.maxAttempts(js) {
