sched: skip many attempts of a long-running task once one is rejected as used

A runner rejects a start whose attempt is not above those that it has ended or stopped. If a former leader had used many without a record, because the store was slow or down, the next one raised the number by one for each rejection, which takes two polls: a long-running task waited for about a second per attempt.

The number is raised by 16 with a rejection. Only long-running tasks are concerned: for others the number of the last start decides whether a result counts.

TestUnrecordedAttempts failed before: still rejected after 9 s, with 40 used attempts.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -197,6 +197,10 @@
 // state of the runner.
 const rejectedDelay = 100 * time.Millisecond
 
+// supersededAttemptGap is how many attempt numbers of a long-running task are skipped
+// once a runner has rejected one as used before.
+const supersededAttemptGap = 16
+
 // HandleReply handles the reply to a command, or its absence if replied is
 // false; sent is false if the command certainly did not reach the runner. It
 // reports whether the command must be sent again.
@@ -255,6 +259,10 @@
 		if r.phase == starting {
 			// The run may have ended already; the next poll returns its result.
 			r.phase, r.stopConfirmed = stopping, now
+			if t := r.task; t.step.spec.LongRunning {
+				// A former leader may have used many higher attempts without a record.
+				t.attempt = max(t.attempt, r.attempt+supersededAttemptGap)
+			}
 		}
 		return
 	case runner.Accepted, runner.Fenced, runner.WrongIncarnation, runner.Invalid:
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -83,3 +83,27 @@
 		})
 	}
 }
+
+// TestUnrecordedAttempts guards against a long-running task that is rejected again and
+// again, once for each attempt of a former leader that is not in the store.
+func TestUnrecordedAttempts(t *testing.T) {
+	const highest = 40 // attempt that the runner has ended or stopped
+	f := newFixture(t, 200)
+	f.runner("a")
+	id := f.job(1, job.Step{LongRunning: true})
+	for range lostBound / busyPollWait {
+		for _, c := range ofKind(f.plan(), StartRun) {
+			r := runner.Reply{Verdict: runner.Superseded}
+			if c.Attempt > highest {
+				r.Verdict = runner.Accepted
+			}
+			f.s.HandleReply(&c, r, true, true, f.now)
+		}
+		sent := f.now + 1
+		f.now = f.now.Add(busyPollWait)
+		f.reportOf("a", 1, sent, f.running(f.s.runners["a"])...)
+	}
+	if len(f.running(f.s.runners["a"])) == 0 {
+		t.Errorf("the task %s is still rejected after %v", id, lostBound)
+	}
+}
