sched: probe a runner with further runs while a long one goes on

After its quarantine a runner is given one run until that has succeeded. If that was a batch task, long-running tasks found no room there for as long as it took, however free the runner was.

A run now keeps others off for three seconds at most, which is what the first quarantine takes. A runner that fails whatever it starts is quarantined again at the first failure, so that it is given one run in three seconds in place of one at a time.

TestQuarantineHeldByBatch failed before: two tasks wait for 9 s beside a batch task of a minute.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -21,6 +21,9 @@
 	// probeTime is how long a long-running task must be at work to count as a
 	// success of its runner, since it never ends as done.
 	probeTime = time.Second
+	// maxProbeTime is how long a run keeps others off a runner that is probed by it. A
+	// batch run may take much longer to end.
+	maxProbeTime = 3 * time.Second
 )
 
 // health tracks the results of the runs on a runner, because a runner may fail
@@ -29,7 +32,7 @@
 	failing          []job.ID // jobs that failed since the last success
 	quarantine       time.Duration
 	quarantinedUntil clock.BootTime // no new runs before this time
-	probing          bool           // may have only one run started since, until one succeeds
+	probing          bool           // may have only one new run in maxProbeTime, until one succeeds
 }
 
 // recordFailure records a failed run, and reports whether the runner is
@@ -55,8 +58,8 @@
 	*h = health{}
 }
 
-// allows reports whether the runner may be given one more run, beside those that it
-// was given since its quarantine.
+// allows reports whether the runner may be given one more run, beside those that probe
+// it.
 func (h *health) allows(now clock.BootTime, probes int) bool {
 	if h.quarantinedUntil.After(now) {
 		return false
@@ -70,12 +73,13 @@
 	return h.probing && !h.quarantinedUntil.After(r.scheduledAt)
 }
 
-// probes returns the number of runs started on a runner since its quarantine.
+// probes returns the number of runs that probe a runner: they were started after its
+// quarantine, and no longer than maxProbeTime before its last reply.
 func (rs *runnerState) probes() int {
 	n := 0
 	if rs.health.probing {
 		for _, r := range rs.runs {
-			if r.isProbe() {
+			if r.isProbe() && rs.lastReply.Sub(r.scheduledAt) < maxProbeTime {
 				n++
 			}
 		}
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// TestQuarantineHeldByBatch guards against a runner that takes no long-running task after
+// its quarantine for as long as a batch task takes there.
+func TestQuarantineHeldByBatch(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	f.fail("a", 10)
+	f.job(1, job.Step{Estimate: time.Minute})
+	f.now = f.now.Add(minQuarantine)
+	f.settle(2)
+	lasting := f.job(2, job.Step{LongRunning: true, Count: 2})
+	f.settle(lostPasses)
+	if n := f.waitingTasks(lasting); n > 0 {
+		t.Errorf("%d long-running tasks wait after %v, with room for them", n, lostBound)
+	}
+}
+
 // TestProbedByOneRun guards against a runner that fails whatever it starts and is
 // given many runs after its quarantine.
 func TestProbedByOneRun(t *testing.T) {
