sched: try another runner after a start that is rejected as invalid

A start that its runner rejected as invalid was sent to the same runner again at each planning pass, without end, because nothing told the choice that it had failed there.

The runner is avoided for the task, and used only if no other fits, and the task waits for 0.1 s. Other tasks are not kept off the runner, since the fault may be that of the task.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -194,7 +195,8 @@
 
 // rejectedDelay blocks starts on a runner that rejected one for insufficient
 // capacity, a missing permit or its health, until the next poll has updated the
-// state of the runner.
+// state of the runner. It also delays the next start of a task that a runner rejected
+// as invalid, which another may accept.
 const rejectedDelay = 100 * time.Millisecond
 
 // supersededAttemptGap is how many attempt numbers of a long-running task are skipped
@@ -265,7 +267,12 @@
 			}
 		}
 		return
-	case runner.Accepted, runner.Fenced, runner.WrongIncarnation, runner.Invalid:
+	case runner.Invalid:
+		if t := r.task; !slices.Contains(t.avoid, rs.ID) {
+			t.avoid = append(t.avoid, rs.ID)
+		}
+		r.task.notBefore = now.Add(rejectedDelay)
+	case runner.Accepted, runner.Fenced, runner.WrongIncarnation:
 	}
 	if r.phase != starting {
 		return
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -107,3 +107,22 @@
 		t.Errorf("the task %s is still rejected after %v", id, lostBound)
 	}
 }
+
+// TestInvalidStart guards against a task that is started again and again on a runner
+// that rejects its start as invalid, while another one accepts it.
+func TestInvalidStart(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job.Step{LongRunning: true})
+	rejected := 0
+	for range lostPasses {
+		for _, c := range ofKind(f.plan(), StartRun) {
+			if c.To.ID == "b" {
+				return
+			}
+			rejected++
+			f.s.HandleReply(&c, runner.Reply{Verdict: runner.Invalid}, true, true, f.now)
+		}
+	}
+	t.Errorf("%d starts on the runner that rejects them, none on the other, in %v", rejected, lostBound)
+}
