sched: a runner restarted before its maintenance has not returned from it

A wave took down more machines than its limit allows. A runner that had started again between the first command to its machine, which had no effect, and the one that was accepted counted as the one that returns from the maintenance, and the next machine left at once. A change of the leader makes that likely: the new one waits for seconds before it repeats a command, for the runner that it found at the start of its term.

The runner that is on the machine when the command is accepted is recorded. If that is the one after the maintenance, which an earlier command of which the reply was lost has begun, its next reply shows that, as for any other.

TestRestartBeforeMaintenance failed before: a second machine is sent its command while the first is down.

--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -95,6 +95,10 @@
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
 		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner && rs.Incarnation == m.incarnation {
 			s.endMachineCommand(rs, inUpkeep, now)
+		} else if rs != nil {
+			// It has started since the command was sent first, before the maintenance
+			// or after it; see advanceMaintenance.
+			m.runner, m.incarnation = rs.ID, rs.Incarnation
 		}
 	case machine.Unknown, machine.WrongWave:
 		m.phase = returned
--- a/internal/sched/maintenance_test.go
+++ b/internal/sched/maintenance_test.go
@@ -6,6 +6,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // TestReturnedMachineUnused guards against a machine that the next leader keeps out of
@@ -56,3 +57,25 @@
 		t.Errorf("intent %+v of a maintenance that may be under way, want %+v", got["m-a"], pending)
 	}
 }
+
+// TestRestartBeforeMaintenance guards against more machines down than a wave allows: a
+// runner that started again before its machine accepted the command counts as the one
+// that returned from the maintenance.
+func TestRestartBeforeMaintenance(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Limits.MaintenanceTime = 4 * time.Second
+	f.runner("a", "b", "c", "d")
+	f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a", "m-b"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+	c := f.maintenances()
+	f.s.HandleMachineReply(&c[0], machine.Busy, true, f.now)
+	f.now += second
+	id := c[0].Machine[len("m-"):]
+	f.restart(runner.ID(id), 2)
+	if c = f.maintenances(); len(c) != 1 {
+		t.Fatalf("commands %v, want the maintenance again", c)
+	}
+	f.s.HandleMachineReply(&c[0], machine.Accepted, true, f.now)
+	if got := f.maintenances(); len(got) != 0 {
+		t.Errorf("commands %v while machine %s is down", got, c[0].Machine)
+	}
+}
