sched: complete no wave without a machine that is busy for a moment

An overdue wave was reported as completed without one of its machines if that was busy, for instance because its runner started again, at the moment of the one command that was sent five seconds or more after the wave was due.

The wave goes on without the machine only if it has been busy since another command, sent MaintenanceTime and five seconds earlier, and no command was rejected for another reason in between.

TestBusyMachineLeftOut failed before, for a machine that is busy for half a second.

--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -102,10 +101,16 @@
 		}
 	case machine.Unknown, machine.WrongWave:
 		m.phase = returned
-	case machine.Busy, machine.Rejected, machine.Fenced:
+	case machine.Busy:
 		m.notBefore = now.Add(machineRetryDelay)
-		if v == machine.Busy && cmp.Compare(now, m.wave.due.Add(returnTimeout)) > 0 {
+		if m.busyUntil == 0 {
+			m.busyUntil = now.Add(s.Limits.MaintenanceTime + returnTimeout)
+		}
+		if now.After(max(m.busyUntil, m.wave.due.Add(returnTimeout))) {
 			m.phase = returned
+			s.Logger.Log("msg", "machine without maintenance: it stays busy", "machine", m.id, "wave", c.Wave)
 		}
+	case machine.Rejected, machine.Fenced:
+		m.notBefore, m.busyUntil = now.Add(machineRetryDelay), 0
 	}
 }
--- a/internal/sched/maintenance_test.go
+++ b/internal/sched/maintenance_test.go
@@ -79,3 +79,33 @@
 		t.Errorf("commands %v while machine %s is down", got, c[0].Machine)
 	}
 }
+
+// TestBusyMachineLeftOut guards against an overdue wave that is completed without a
+// machine that was busy for a moment, and against one that waits for ever for a machine
+// that stays busy.
+func TestBusyMachineLeftOut(t *testing.T) {
+	for name, stays := range map[string]bool{"for a moment": false, "stays busy": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.s.Limits.MaintenanceTime = 4 * time.Second
+			f.runner("a")
+			f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Second}, false, f.now, time.Unix(0, 0))
+			f.now += 10 * second
+			accepted := false
+			for n := range 300 {
+				f.now += second / 10
+				f.report("a")
+				for _, c := range f.maintenances() {
+					v := machine.Busy
+					if !stays && n > 5 {
+						v, accepted = machine.Accepted, true
+					}
+					f.s.HandleMachineReply(&c, v, true, f.now)
+				}
+			}
+			if completed := f.s.waves[1].completed; !completed || accepted == stays {
+				t.Errorf("completed %t, maintenance accepted %t", completed, accepted)
+			}
+		})
+	}
+}
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -31,6 +31,7 @@
 	incarnation runner.Incarnation
 	notBefore   clock.BootTime // no command before this time
 	sent        bool           // a command is in flight
+	busyUntil   clock.BootTime // if it is still busy then, the wave may continue without it; zero: it is not busy
 }
 
 // wave is a wave of the operators with its progress.
