sched: forget an announced incarnation once its entry is removed

A new leader could wait 11.3 s, with the long-running tasks of all pools, for one runner of the previous term that was gone: it had started again, written its entry, and was lost for good before it replied. Two lists of machines without it should end the wait after 5 s, but they do not count while a later incarnation is announced, and that stayed so when its entry was removed.

The announced incarnation of a runner of a previous term is now forgotten with its entry. It is announced again if the entry comes back.

TestWaitForAnnouncedRunner failed before: no start within 9 s. A random play of restarts and entries, followed by calm, had found it.

--- a/internal/sched/registration.go
+++ b/internal/sched/registration.go
@@ -78,6 +78,9 @@
 		return
 	}
 	rs.registered, rs.deregisteredAt = false, now
+	if s.inherited[id] != nil {
+		rs.announced = nil // its incarnation has no entry either, and may have ended; see RunnersListed
+	}
 	s.Logger.Log("msg", "runner deregistered", "runner", id, "runs", len(rs.runs))
 	s.removeDeregistered(rs, now)
 }
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -6,6 +6,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -126,3 +127,19 @@
 	}
 	t.Errorf("%d starts on the runner that rejects them, none on the other, in %v", rejected, lostBound)
 }
+
+// TestWaitForAnnouncedRunner guards against long-running tasks that wait over 9 s for a
+// runner of the previous term that wrote its entry as it started again, and was then
+// lost for good.
+func TestWaitForAnnouncedRunner(t *testing.T) {
+	f, ms := lostRunner(t)
+	i := info("a", "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	if got := f.startAfter(9, func(int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		return ms
+	}); got < 6 {
+		t.Errorf("started after %d s, want 6 or more, since the previous leader may send commands for 5 s", got)
+	}
+}
