--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -194,9 +195,14 @@
 
 // rejectedDelay blocks starts on a runner that rejected one for insufficient
 // capacity, a missing permit or its health, until the next poll has updated the
-// state of the runner.
+// state of the runner. It also delays the next start of a task that a runner rejected
+// as invalid, which another may accept.
 const rejectedDelay = 100 * time.Millisecond
 
+// supersededAttemptGap is how many attempt numbers of a long-running task are skipped
+// once a runner has rejected one as used before.
+const supersededAttemptGap = 16
+
 // HandleReply handles the reply to a command, or its absence if replied is
 // false; sent is false if the command certainly did not reach the runner. It
 // reports whether the command must be sent again.
@@ -255,9 +261,18 @@
 		if r.phase == starting {
 			// The run may have ended already; the next poll returns its result.
 			r.phase, r.stopConfirmed = stopping, now
+			if t := r.task; t.step.spec.LongRunning {
+				// A former leader may have used many higher attempts without a record.
+				t.attempt = max(t.attempt, r.attempt+supersededAttemptGap)
+			}
 		}
 		return
-	case runner.Accepted, runner.Fenced, runner.WrongIncarnation, runner.Invalid:
+	case runner.Invalid:
+		if t := r.task; !slices.Contains(t.avoid, rs.ID) {
+			t.avoid = append(t.avoid, rs.ID)
+		}
+		r.task.notBefore = now.Add(rejectedDelay)
+	case runner.Accepted, runner.Fenced, runner.WrongIncarnation:
 	}
 	if r.phase != starting {
 		return
--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -21,13 +20,17 @@
 
 // Intents returns a copy of all intents, and whether they differ from the
 // stored ones. Machines that have not been sent a command for a while are
-// released, so that a later term need not wait for them.
+// released, so that a later term need not wait for them, unless a previous term may
+// have begun a maintenance that this one has yet to repeat.
 func (s *State) Intents(now clock.BootTime) (map[machine.ID]Intent, bool) {
 	for id, in := range s.intents {
 		if in.Term == s.Term && s.lastCommandEnd[id] != 0 && now.Sub(s.lastCommandEnd[id]) > s.Limits.MachineTakeover {
 			s.intents[id] = Intent{AcceptedWave: in.AcceptedWave}
 			delete(s.lastCommandEnd, id)
 		}
+		if in.Term != 0 && in.Term != s.Term && (in.PendingWave == 0 || in.PendingWave == in.AcceptedWave) && now.Sub(s.startedAt) > s.Limits.MachineTakeover {
+			s.intents[id] = Intent{AcceptedWave: in.AcceptedWave}
+		}
 	}
 	return maps.Clone(s.intents), !maps.Equal(s.intents, s.storedIntents)
 }
@@ -91,13 +94,23 @@
 		s.intents[m.id] = Intent{Term: s.Term, AcceptedWave: c.Wave, PendingWave: c.Wave}
 		if rs := s.runnerOf(m.id); rs != nil && rs.ID == m.runner && rs.Incarnation == m.incarnation {
 			s.endMachineCommand(rs, inUpkeep, now)
+		} else if rs != nil {
+			// It has started since the command was sent first, before the maintenance
+			// or after it; see advanceMaintenance.
+			m.runner, m.incarnation = rs.ID, rs.Incarnation
 		}
 	case machine.Unknown, machine.WrongWave:
 		m.phase = returned
-	case machine.Busy, machine.Rejected, machine.Fenced:
+	case machine.Busy:
 		m.notBefore = now.Add(machineRetryDelay)
-		if v == machine.Busy && cmp.Compare(now, m.wave.due.Add(returnTimeout)) > 0 {
+		if m.busyUntil == 0 {
+			m.busyUntil = now.Add(s.Limits.MaintenanceTime + returnTimeout)
+		}
+		if now.After(max(m.busyUntil, m.wave.due.Add(returnTimeout))) {
 			m.phase = returned
+			s.Logger.Log("msg", "machine without maintenance: it stays busy", "machine", m.id, "wave", c.Wave)
 		}
+	case machine.Rejected, machine.Fenced:
+		m.notBefore, m.busyUntil = now.Add(machineRetryDelay), 0
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -103,6 +103,7 @@
 	}
 	first := !rs.replied
 	rs.replied, rs.unreachable, rs.unreported, rs.lastReply = true, false, false, now
+	rs.polledAt = max(rs.polledAt, sent)
 	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
@@ -197,6 +198,9 @@
 		// Started by a previous term, so that the report does not date its start.
 		r.confirmedAt = now.Add(-crash.FreshFor)
 	}
+	if t.step.spec.BestEffort {
+		r.throttle = min(max(reported.Percent, 0), 100)
+	}
 	rs.add(r)
 	t.attempt = max(t.attempt, reported.Attempt)
 	js.started = true
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -119,3 +119,62 @@
 		}
 	}
 }
+
+// TestUnrecordedAttempts guards against a long-running task that is rejected again and
+// again, once for each attempt of a former leader that is not in the store.
+func TestUnrecordedAttempts(t *testing.T) {
+	const highest = 40 // attempt that the runner has ended or stopped
+	f := newFixture(t, 200)
+	f.runner("a")
+	id := f.job(1, job.Step{LongRunning: true})
+	for range lostBound / busyPollWait {
+		for _, c := range ofKind(f.plan(), StartRun) {
+			r := runner.Reply{Verdict: runner.Superseded}
+			if c.Attempt > highest {
+				r.Verdict = runner.Accepted
+			}
+			f.s.HandleReply(&c, r, true, true, f.now)
+		}
+		sent := f.now + 1
+		f.now = f.now.Add(busyPollWait)
+		f.reportOf("a", 1, sent, f.running(f.s.runners["a"])...)
+	}
+	if len(f.running(f.s.runners["a"])) == 0 {
+		t.Errorf("the task %s is still rejected after %v", id, lostBound)
+	}
+}
+
+// TestInvalidStart guards against a task that is started again and again on a runner
+// that rejects its start as invalid, while another one accepts it.
+func TestInvalidStart(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job.Step{LongRunning: true})
+	rejected := 0
+	for range lostPasses {
+		for _, c := range ofKind(f.plan(), StartRun) {
+			if c.To.ID == "b" {
+				return
+			}
+			rejected++
+			f.s.HandleReply(&c, runner.Reply{Verdict: runner.Invalid}, true, true, f.now)
+		}
+	}
+	t.Errorf("%d starts on the runner that rejects them, none on the other, in %v", rejected, lostBound)
+}
+
+// TestWaitForAnnouncedRunner guards against long-running tasks that wait over 9 s for a
+// runner of the previous term that wrote its entry as it started again, and was then
+// lost for good.
+func TestWaitForAnnouncedRunner(t *testing.T) {
+	f, ms := lostRunner(t)
+	i := info("a", "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	if got := f.startAfter(9, func(int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		return ms
+	}); got < 6 {
+		t.Errorf("started after %d s, want 6 or more, since the previous leader may send commands for 5 s", got)
+	}
+}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -121,8 +121,8 @@
 // started again since, with the attempt started, because the lease of the run had
 // expired as far as this leader could tell. If the result were acknowledged, the
 // later run would break the rule that a task that is done does not run again;
-// unacknowledged, the result never counts. The runner is not used again in this
-// incarnation, because none of its later results can be acknowledged.
+// unacknowledged, the result never counts. The runner is given no batch tasks again in
+// this incarnation, because none of its later results can be acknowledged.
 func (s *State) withhold(rs *runnerState, res *runner.RunResult, started int) {
 	if rs.withheld != 0 || started <= res.Attempt {
 		return
@@ -176,11 +176,16 @@
 	if t.step.spec.Gang {
 		t = t.step.tasks[0] // the failures of a gang are counted on its first task
 	}
+	if !slices.Contains(t.avoid, on) {
+		t.avoid = append(t.avoid, on)
+	}
+	if t.step.spec.LongRunning {
+		return // it is run again however often it fails
+	}
 	if !slices.Contains(t.failed, attempt) {
 		t.failed = append(t.failed, attempt)
 	}
-	t.avoid = append(t.avoid, on)
-	if t.step.spec.LongRunning || t.done {
+	if t.done {
 		return
 	}
 	if len(t.failed) >= s.maxAttempts(js) {
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -31,6 +31,7 @@
 	incarnation runner.Incarnation
 	notBefore   clock.BootTime // no command before this time
 	sent        bool           // a command is in flight
+	busyUntil   clock.BootTime // if it is still busy then, the wave may continue without it; zero: it is not busy
 }
 
 // wave is a wave of the operators with its progress.
@@ -50,6 +51,10 @@
 	// noRunnerTimeout is the same for a machine whose return no runner shows: it
 	// had none before its maintenance, or it moves to the standby pool.
 	noRunnerTimeout = 500 * time.Millisecond
+	// endDelay is how long after the reply to a maintenance command a runner that the
+	// command has ended may still reply. One that replies later has started since, or
+	// the command had been carried out before.
+	endDelay = 500 * time.Millisecond
 	// drainTimeout is how long a machine may wait for its runs to end before
 	// they are stopped, if the wave is urgent.
 	drainTimeout = 4 * time.Second
@@ -178,6 +183,7 @@
 		s.planWave(s.waves[n], now)
 	}
 	s.holdRunners(now)
+	s.holdWithheld(now)
 }
 
 func (s *State) planWave(w *wave, now clock.BootTime) {
@@ -311,7 +317,7 @@
 	case down:
 		if m.incarnation == math.MaxInt64 && s.listedUp(m.id) {
 			m.phase = returned
-		} else if rs != nil && rs.replied && rs.Incarnation > m.incarnation {
+		} else if rs != nil && rs.replied && (rs.Incarnation > m.incarnation || rs.polledAt.After(m.since.Add(endDelay))) {
 			m.phase = returned
 			s.Logger.Log("msg", "machine returned from maintenance", "machine", m.id, "wave", m.wave.Number, "runner", rs.ID, "took", now.Sub(m.since))
 		} else if m.runner == "" && now.Sub(m.since) > s.Limits.MaintenanceTime+noRunnerTimeout {
