lead: log that the previous leader does not reply

An error of the request to end its term was dropped without a line. One line a term now names the daemon and the first error; the end of the wait was logged before.

--- a/internal/lead/previous.go
+++ b/internal/lead/previous.go
@@ -128,6 +128,7 @@
 // askPrevious asks the process of the previous leader to end its term, until it has or
 // nothing waits for that.
 func (l *Leader) askPrevious(ctx context.Context, t *term) {
+	failed := false
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		p := t.previous
@@ -136,13 +137,16 @@
 		if !waits {
 			return
 		}
-		l.askTerm(ctx, t, p)
+		if err := l.askTerm(ctx, t, p); err != nil && ctx.Err() == nil && !failed {
+			failed = true // one line for all requests of the term
+			t.logger.Log("msg", "previous leader does not reply, it is asked again", "leader", p.Name, "addr", p.Addr, "err", err)
+		}
 		clock.Sleep(ctx, askInterval)
 	}
 }
 
 // askTerm asks the process of the previous leader once.
-func (l *Leader) askTerm(ctx context.Context, t *term, p *previousTerm) {
+func (l *Leader) askTerm(ctx context.Context, t *term, p *previousTerm) error {
 	sent := clock.Now()
 	var s TermState
 	switch {
@@ -150,26 +154,27 @@
 		// Its terms follow each other.
 		s = TermState{Name: p.Name, Incarnation: p.Incarnation, Ended: true}
 	case l.cfg.Peers == nil:
-		return
+		return nil
 	default:
 		var err error
 		if s, err = l.cfg.Peers.EndTerm(ctx, p.Addr, p.id); err != nil {
-			return // the next request may succeed; the log has the end of the wait
+			return err
 		}
 	}
 	if s.Name != p.Name || s.Incarnation != p.Incarnation {
 		l.DaemonReplied(s.Name, s.Incarnation, sent)
-		return
+		return nil
 	}
 	if !s.Ended {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.previous != p {
-		return
+		return nil
 	}
 	now := clock.Now()
 	t.logger.Log("msg", "term of the previous leader has ended", "leader", p.Name, "incarnation", p.Incarnation, "previous", int64(p.id), "after", now.Sub(t.vacancy.at))
 	t.previousEnded(now)
+	return nil
 }
