sched: start a task elsewhere after starts without a reply

A task waited for ever for a runner that replies to polls, does not list the run, and never replies to its start: the start was repeated without end, since it may have been received, and nothing else showed that it had not begun.

After two seconds of such starts, a poll that was sent later and does not list the run has it stopped, as for a start that is withheld. A runner that has confirmed the stop rejects the start however late it arrives, so that the task can be started again; it avoids that runner. All members of a gang are stopped. While a start is withheld the time does not count.

--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	if r.withheldAt == 0 {
-		r.withheldAt = now
+		r.withheldAt, r.replyUntil = now, 0
 		s.Logger.Log("msg", "run start withheld", "task", r.task.name, "attempt", r.attempt, "runner", rs.ID, "unsure", r.startUnknown,
 			"outdated", outdated, "input", now.Sub(s.inputCurrentAt), "capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 	}
--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -225,6 +224,9 @@
 	if !replied {
 		if c.Kind == StartRun && sent {
 			r.startUnknown = true
+			if r.replyUntil == 0 {
+				r.replyUntil = now.Add(startTimeout)
+			}
 		}
 		return !r.runner.unreachable
 	}
@@ -268,9 +270,7 @@
 		}
 		return
 	case runner.Invalid:
-		if t := r.task; !slices.Contains(t.avoid, rs.ID) {
-			t.avoid = append(t.avoid, rs.ID)
-		}
+		r.task.avoidRunner(rs.ID)
 		r.task.notBefore = now.Add(rejectedDelay)
 	case runner.Accepted, runner.Fenced, runner.WrongIncarnation:
 	}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -39,6 +39,7 @@
 	// startUnknown is set if a start had no reply, so that it may still be
 	// carried out even if a repeated one is rejected.
 	startUnknown bool
+	replyUntil   clock.BootTime // until when a start without a reply is repeated; zero: none was sent, or it is withheld
 	unsettled    bool           // started on the previous incarnation of the runner
 	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
 	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -217,7 +217,7 @@
 
 // applyMissing records as lost the runs that were confirmed, or whose stop was
 // confirmed, before the poll was sent and that the runner reports neither as
-// running nor as ended.
+// running nor as ended. It stops those whose start cannot be confirmed.
 func (s *State) applyMissing(rs *runnerState, seen map[job.Task]bool, sent, now clock.BootTime) {
 	for _, r := range runsOf(rs) {
 		if seen[r.task.name] {
@@ -232,10 +232,34 @@
 			s.runLost(r, "runner does not list it", now)
 		case r.withheldLost(sent):
 			s.stop(r, "start withheld, outcome unknown")
+		case r.isStartOverdue(sent):
+			r.task.avoidRunner(rs.ID)
+			if r.task.step.spec.Gang {
+				s.stopGang(r.task.step, "start of a gang member has no reply")
+			} else {
+				s.stop(r, "start has no reply")
+			}
 		}
 	}
 }
 
+// startTimeout is how long the start of a run is repeated on a runner that replies to
+// polls.
+const startTimeout = 2 * time.Second
+
+// isStartOverdue reports whether the starts of a run had no reply for startTimeout
+// before a poll was sent.
+func (r *run) isStartOverdue(sent clock.BootTime) bool {
+	return r.phase == starting && r.replyUntil != 0 && sent.After(r.replyUntil)
+}
+
+// avoidRunner records a runner that another is preferred to for a task.
+func (t *task) avoidRunner(id runner.ID) {
+	if !slices.Contains(t.avoid, id) {
+		t.avoid = append(t.avoid, id)
+	}
+}
+
 // runsOf returns the runs on a runner in a stable order.
 func runsOf(rs *runnerState) []*run {
 	runs := make([]*run, 0, len(rs.runs))
--- a/internal/sched/report_test.go
+++ b/internal/sched/report_test.go
@@ -294,3 +294,29 @@
 		t.Errorf("%d starts after the leases of all runners have expired, want 1", len(starts))
 	}
 }
+
+// TestStartWithoutReply guards against a task that waits for ever for the reply of one
+// runner to its start, though the runner replies to polls without listing the run.
+func TestStartWithoutReply(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job.Step{LongRunning: true})
+	var pending []Command
+	for range lostPasses {
+		f.report("a")
+		f.report("b")
+		var again []Command
+		for _, c := range f.prepared(append(pending, f.plan()...)) {
+			switch {
+			case c.To.ID == "b":
+				return
+			case c.Kind == StopRun:
+				f.accept([]Command{c})
+			case f.loseReply(c):
+				again = append(again, c)
+			}
+		}
+		pending = again
+	}
+	t.Errorf("not started on the other runner within %v", lostBound)
+}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -176,9 +176,7 @@
 	if t.step.spec.Gang {
 		t = t.step.tasks[0] // the failures of a gang are counted on its first task
 	}
-	if !slices.Contains(t.avoid, on) {
-		t.avoid = append(t.avoid, on)
-	}
+	t.avoidRunner(on)
 	if t.step.spec.LongRunning {
 		return // it is run again however often it fails
 	}
