sched: lists of machines also end silent runners of the present term

A long-running task waited 11.4 s for a runner that had started again under its ID in this term and was then lost for good: its lease may last twice as long, since commands to the earlier incarnation may have extended it.

Cause: the list of machines, which shows that the runner has ended, was only looked at for runners that a new leader had not reached. Class: a time limit in place of evidence that is at hand.

Two lists that were requested after its entry was removed now end a silent runner of this term as well. A start that the runner has not confirmed may still reach its next incarnation, so that such a runner is waited for as before. The crash is charged like one that another runner at its address shows. The second list is requested as soon as it can count.

TestRestartedRunnerLost failed before: "started again 11.44s after the runner was lost". TestUnconfirmedStartEndedByLists fails ("the run is given up") without the condition on confirmed starts.

--- a/internal/lead/list.go
+++ b/internal/lead/list.go
@@ -53,15 +53,16 @@
 func (t *term) nextList(last clock.BootTime, failed bool) clock.BootTime {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.state.WaitsForPrevious() {
-		return last.Add(listInterval)
+	interval := listInterval
+	if t.state.WaitsForPrevious() {
+		interval = previousListInterval
 	}
-	if failed {
+	due, ok := t.state.NextList()
+	if failed && (ok || t.state.WaitsForPrevious()) {
 		return last.Add(minListInterval)
 	}
-	due, ok := t.state.NextList()
 	if !ok || due > last.Add(listInterval) {
-		return last.Add(previousListInterval)
+		return last.Add(interval)
 	}
 	return max(due, last.Add(minListInterval)) // not delayed by a list just before it
 }
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -517,3 +517,59 @@
 		t.Error("no start within 8 s")
 	}
 }
+
+// TestRestartedRunnerLost guards against a long-running task that waits over 9 s for the
+// lease of a runner that had started again in this term and is then lost for good.
+func TestRestartedRunnerLost(t *testing.T) {
+	f := newFixture(t, 1)
+	report := func(in runner.Incarnation, runs ...runner.Run) {
+		f.s.HandleReport(f.s.runners["a"].target(), f.now, f.now, &runner.Report{Incarnation: in, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond)), Running: runs})
+		f.s.RosterStored(f.s.Roster(f.now, false))
+	}
+	f.runner("a")
+	f.now += second
+	i := info("a", "pool")
+	i.Incarnation = 2
+	f.s.SetRunner(i, f.now)
+	report(2)
+	f.job(1, job.Step{LongRunning: true})
+	c := ofKind(f.plan(), StartRun)
+	f.accept(c)
+	f.now += second
+	report(2, runner.Run{Task: c[0].Task, Attempt: 1, Percent: 100})
+	f.s.Poll("a", f.now) // extends the lease
+	lost := f.now
+	f.s.PollFailed("a", f.now)
+	f.s.DeregisterRunner("a", f.now)
+	f.runner("b")
+	list := []machine.Machine{{ID: "m-a", State: machine.Down}, {ID: "m-b", Runner: "b"}}
+	for f.now.Sub(lost) < 20*time.Second {
+		f.now += second / 10
+		f.report("b")
+		f.s.ConfirmTerm(f.now)
+		f.s.RunnersListed(list, f.now, f.now)
+		if len(ofKind(f.plan(), StartRun)) > 0 {
+			break
+		}
+	}
+	if d := f.now.Sub(lost); d > lostBound {
+		t.Errorf("started again %v after the runner was lost", d)
+	}
+}
+
+// TestUnconfirmedStartEndedByLists guards against two runs of a task: a start that a
+// silent runner has not confirmed may still reach its next incarnation, which forgets
+// that it is late.
+func TestUnconfirmedStartEndedByLists(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{LongRunning: true})
+	f.loseReply(ofKind(f.plan(), StartRun)[0])
+	f.s.PollFailed("a", f.now)
+	f.s.DeregisterRunner("a", f.now)
+	f.runner("b")
+	f.startAfter(5, func(int) []machine.Machine { return []machine.Machine{{ID: "m-b", Runner: "b"}} })
+	if !f.s.jobs[id].task(job.Task{Job: id}).live() {
+		t.Error("the run is given up, while its start may still arrive")
+	}
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -20,7 +20,7 @@
 // chargeCrash decides to which tasks the crash of a runner is charged: its
 // incarnation ended, and neither a command nor a drain ended it.
 func (s *State) chargeCrash(rs *runnerState, why evidence, now clock.BootTime) {
-	if rs.Draining || rs.cordoned || why != restarted && why != replaced {
+	if rs.Draining || rs.cordoned || why != restarted && why != replaced && why != unlisted {
 		return
 	}
 	s.recordLoss(rs, now)
