sched: wait for a runner no longer than for the leaders that reached it

A runner of the roster that the previous leader had not reached was waited for as if that one might send it commands: the time that was left, rounded up, counted from the next term, up to the whole wait of that term. So each leader of a series began the wait anew for runners that were lost before its own term. A leader gives a runner a start or a longer lease only after a reply in its term, and records first that the entry is open. The entry that it stored without an end of that kind can concern only leaders before it, whose terms had ended when its own key was first seen. An entry with a task name that cannot be read keeps the whole wait.

TestWaitThroughTerms, without the bound: not reached, waits up to 10.3 s, want 8.3 s.

--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -99,6 +99,9 @@
 	if t.previous != nil && runner.Term(it.Rev) < t.previous.id {
 		t.previous = nil // which runners it had reached is not known
 	}
+	if t.previous != nil {
+		t.state.EarlierLeadersEnded(t.vacancy.earlierUntil())
+	}
 	if t.previous != nil && t.previous.StartDeadline > 0 {
 		t.state.PreviousStartsEnded(t.vacancy.at.Add(t.previous.StartDeadline+commandTransit), t.vacancy.earlierUntil())
 	}
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -144,6 +144,10 @@
 		at, earlier = m.now, m.now
 	}
 	l.s.PreviousStartsEnded(at, earlier)
+	if m.weaken == "earlier" {
+		earlier = l.previous.began
+	}
+	l.s.EarlierLeadersEnded(earlier)
 	l.open = make(map[runner.ID]bool)
 	for _, e := range m.roster {
 		l.open[e.ID] = !e.Closed && e.Remaining == 0
@@ -550,7 +554,7 @@
 // checkLeaders runs the model with leaders that are cut off one after the other while
 // they work; weaken names a safeguard to leave out: "ended", waiting for the previous
 // leader while its process may go on; "author", waiting for a leader before that one,
-// which stored the roster.
+// which stored the roster; "earlier", waiting for the leaders before the previous one.
 func checkLeaders(weaken string) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newModel(t, weaken, true)
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -120,6 +120,35 @@
 	}
 }
 
+// TestWaitThroughTerms guards against a wait for a runner that begins anew with each
+// leader which does not reach it, although only leaders before that may send it commands.
+func TestWaitThroughTerms(t *testing.T) {
+	open := RosterEntry{ID: "a", Addr: info("a", "pool").Addr, Incarnation: 1, Machine: "m-a"}
+	unreached, closed := open, open
+	unreached.Remaining = 10 * time.Second
+	closed.Closed, closed.Remaining, closed.Tasks = true, 10*time.Second, []string{"no task"}
+	for _, c := range []struct {
+		name  string
+		entry RosterEntry
+		until time.Duration // from the start of the term
+	}{
+		{"reached", open, 15 * time.Second},
+		{"not reached", unreached, 8300 * time.Millisecond},
+		{"closed, with an unknown task", closed, 15 * time.Second},
+	} {
+		f := newFixture(t, 200)
+		f.s.InheritRoster([]RosterEntry{c.entry})
+		f.s.EarlierLeadersEnded(f.now + 2*second)
+		in := f.s.inherited["a"]
+		if got := in.until.Sub(f.now); got != c.until {
+			t.Errorf("%s: waits up to %v, want %v", c.name, got, c.until)
+		}
+		if got, want := in.lastStart, in.until.Add(-6300*time.Millisecond); got != want {
+			t.Errorf("%s: last start %v before the end of the wait, want 6.3 s", c.name, in.until.Sub(got))
+		}
+	}
+}
+
 // TestUnrecordedAttempts guards against a long-running task that is rejected again and
 // again, once for each attempt of a former leader that is not in the store.
 func TestUnrecordedAttempts(t *testing.T) {
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -61,6 +61,7 @@
 type inherited struct {
 	closed      bool
 	reached     bool // the runner had replied to the previous leader, which may have extended its lease
+	unreached   bool // it had not, and got no start and no longer lease from it
 	addr        netip.AddrPort
 	incarnation runner.Incarnation
 	machine     string
@@ -90,7 +91,7 @@
 			continue
 		}
 		in := &inherited{closed: e.Closed, addr: e.Addr, incarnation: e.Incarnation, machine: e.Machine, until: latest}
-		in.reached = !e.Closed && e.Remaining == 0
+		in.reached, in.unreached = !e.Closed && e.Remaining == 0, !e.Closed && e.Remaining > 0
 		if !in.reached {
 			in.until = s.startedAt.Add(time.Duration(float64(e.Remaining) * slowClockFactor))
 		}
@@ -102,7 +103,7 @@
 			t, err := job.ParseTask(name)
 			if err != nil {
 				s.Logger.Log("msg", "invalid task name in roster", "runner", e.ID, "err", err)
-				in.closed, in.reached = false, false
+				in.closed, in.reached, in.unreached = false, false, false
 				in.until, in.lastStart = latest, latest.Add(-s.leaseTime())
 				continue
 			}
@@ -151,6 +152,16 @@
 	}
 }
 
+// EarlierLeadersEnded records that the leaders before the previous one, which had stored
+// the roster, send no commands after a time.
+func (s *State) EarlierLeadersEnded(at clock.BootTime) {
+	for _, in := range s.inherited {
+		if in.unreached {
+			in.until, in.lastStart = min(in.until, at.Add(s.leaseTime())), min(in.lastStart, at)
+		}
+	}
+}
+
 // leaseTime returns the longest time for which a lease lasts that a command extends.
 func (s *State) leaseTime() time.Duration {
 	return s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20 // a runner's clock may be slow
--- a/internal/sched/weakened_test.go
+++ b/internal/sched/weakened_test.go
@@ -18,7 +18,7 @@
 	for _, weaken := range []string{"address", "entry", "unsettled", "roster"} {
 		models[weaken] = checkRestarts(weaken)
 	}
-	for _, weaken := range []string{"ended", "author"} {
+	for _, weaken := range []string{"ended", "author", "earlier"} {
 		models[weaken] = checkLeaders(weaken)
 	}
 	for _, weaken := range []string{"listed", "pages"} {
