--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -126,47 +126,6 @@
 	s.RosterStored(entries)
 }
 
-// PreviousLeaderEnded records that the previous leader sends no commands after a time.
-// The runners that it had reached reject those of earlier leaders, which may last until
-// the other time; a later incarnation does not.
-func (s *State) PreviousLeaderEnded(at, earlier clock.BootTime) {
-	s.PreviousStartsEnded(at, earlier)
-	until := at.Add(s.leaseTime())
-	n := 0
-	for _, in := range s.inherited {
-		if in.reached && in.until.After(until) {
-			in.until = until
-			n++
-		}
-	}
-	s.Logger.Log("msg", "wait for runners of the previous term shortened", "runners", n, "left", until.Sub(at))
-}
-
-// PreviousStartsEnded records that the previous leader starts no tasks after a time, and
-// those before it none after the other.
-func (s *State) PreviousStartsEnded(at, earlier clock.BootTime) {
-	for _, in := range s.inherited {
-		if in.reached {
-			in.lastStart = min(in.lastStart, max(at, earlier))
-		}
-	}
-}
-
-// EarlierLeadersEnded records that the leaders before the previous one, which had stored
-// the roster, send no commands after a time.
-func (s *State) EarlierLeadersEnded(at clock.BootTime) {
-	for _, in := range s.inherited {
-		if in.unreached {
-			in.until, in.lastStart = min(in.until, at.Add(s.leaseTime())), min(in.lastStart, at)
-		}
-	}
-}
-
-// leaseTime returns the longest time for which a lease lasts that a command extends.
-func (s *State) leaseTime() time.Duration {
-	return s.Limits.MaxRunnerLease + s.Limits.MaxRunnerLease/20 // a runner's clock may be slow
-}
-
 // InheritUnknownRoster records that the roster of previous terms cannot be read:
 // tasks that were accepted before this term may run on unknown runners until
 // their leases have expired.
