sched: keep the count of a start whose run the next leader finds

A task that crashes its runners was started without limit if leaders ended in pairs: the first sent the start, the second had one reply of the runner and ended before it knew of the crash. BUDGET allows two more starts after three crashes.

Cause: the first reply of a runner resolved the starts that previous terms had counted for it, also those whose runs the same report lists. Such a run may have begun just before the poll, so that the runner has not gone on after it yet.

A count whose run is reported now stays until the run is proven, ends, or is no longer listed by that incarnation. A start that was not sent is resolved as before, since no report lists it.

--- a/internal/sched/counted.go
+++ b/internal/sched/counted.go
@@ -86,8 +86,9 @@
 }
 
 // settleCounted resolves the starts that previous terms counted for an incarnation of a
-// runner which replies in this one.
-func (s *State) settleCounted(rs *runnerState) {
+// runner which replies in this one, unless it reports their runs: a run may have begun
+// just before, and crash the runner yet.
+func (s *State) settleCounted(rs *runnerState, reported []runner.Run) {
 	names := s.countedOn[rs.ID]
 	if len(names) == 0 || !rs.isConfirmed() {
 		return
@@ -103,7 +104,12 @@
 			continue
 		}
 		for _, c := range slices.Clone(t.counted) {
-			if c.on == rs.ID && c.incarnation == rs.Incarnation {
+			if c.on != rs.ID || c.incarnation != rs.Incarnation {
+				continue
+			}
+			if slices.ContainsFunc(reported, func(r runner.Run) bool { return r.Task == name && r.Attempt == c.attempt }) {
+				s.countedOn[rs.ID] = append(s.countedOn[rs.ID], name)
+			} else {
 				s.startResolved(t, c.attempt, rs)
 				s.Logger.Log("msg", "counted start resolved: its runner went on", "task", t.name, "attempt", c.attempt, "runner", rs.ID,
 					"crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
--- a/internal/sched/counted_test.go
+++ b/internal/sched/counted_test.go
@@ -136,3 +136,39 @@
 		t.Errorf("no start after a runner has gone on, record %+v, outcome %v", x.crashes, f.outcome(id))
 	}
 }
+
+// TestAdoptedSuspectForgotten guards against a task that is started without limit while
+// it crashes each runner, because a leader that ends before the crash has taken the first
+// report of its run as evidence that the runner went on.
+func TestAdoptedSuspectForgotten(t *testing.T) {
+	for name, step := range map[string]job.Step{"batch": {}, "long-running": {LongRunning: true}} {
+		t.Run(name, func(t *testing.T) {
+			f, id := suspected(t, step)
+			const allowed = 5 // starts of a task that crashes its runners
+			starts := 1
+			for in := runner.Incarnation(1); ; in++ {
+				x := f.s.jobs[id].task(job.Task{Job: id})
+				if !f.planUntil(200, x.live) {
+					break
+				}
+				if starts++; starts > allowed {
+					t.Fatalf("started %d times, record %+v", starts, x.crashes)
+				}
+				on, run := x.runs[0].runner.ID, runner.Run{Task: x.name, Attempt: x.runs[0].attempt, Percent: 100}
+				f = f.nextTerm(id, in)
+				for _, r := range []runner.ID{"a", "b"} {
+					i := info(r, "pool")
+					i.Incarnation = in
+					f.s.SetRunner(i, f.now)
+					if r == on {
+						f.report(r, run)
+					} else {
+						f.report(r)
+					}
+				}
+				f.plan() // it ends before it sees the crash
+				f = f.nextTerm(id, in+1, "a", "b")
+			}
+		})
+	}
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -97,7 +97,7 @@
 	changed := !rs.replied || rs.unreachable || rep.Incarnation != rs.Incarnation
 	applied, runs := rs.applied, len(rs.runs)
 	s.confirm(rs, from, rep.Incarnation, sent, now)
-	s.settleCounted(rs)
+	s.settleCounted(rs, rep.Running)
 	if rs.unreachable {
 		s.Logger.Log("msg", "runner reachable again", "runner", id, "runs", len(rep.Running))
 	}
