sched: keep a runner isolated while the store confirms its counted start

Suspects were not started for as long as each write of the store took longer than about 2 s, in a busy pool.

Cause: a runner stays isolated for 2 s without a start.

The runner now stays isolated for up to 5 s while the count of a start for it is not stored, the time after which a leader without the store sends nothing.

--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -51,6 +51,9 @@
 	// isolationTimeout is how long a runner waits for the start of its suspects. It
 	// includes the reply to a poll of an idle runner.
 	isolationTimeout = 2 * time.Second
+	// storeIsolationTimeout is the same while the store has yet to confirm that a start
+	// is counted for the runner. Another runner would need one more write.
+	storeIsolationTimeout = 5 * time.Second
 	// maxSuspectReplyAge is how old the last reply of a runner may be when a suspect
 	// is started there. The polls of an isolated runner do not wait, so that a longer
 	// silence means that it may have crashed.
@@ -177,7 +180,10 @@
 // isolationOver reports whether a runner is no longer needed for the suspects of
 // a job: it went on after their starts, or they cannot be started there.
 func (s *State) isolationOver(js *jobState, rs *runnerState, now clock.BootTime) bool {
-	started, fresh := false, false
+	started, fresh, timeout := false, false, isolationTimeout
+	if s.awaitsStore(js, rs) {
+		timeout = storeIsolationTimeout
+	}
 	for _, r := range rs.runs {
 		if r.task.job == js && r.task.crashes.Suspect {
 			started = true
@@ -188,7 +194,7 @@
 	case !js.open() || rs.ended:
 	case started && fresh, rs.unreachable && started:
 		return false
-	case !started && now.Sub(rs.isolatedAt) < isolationTimeout && s.suspectFits(js, rs, now):
+	case !started && now.Sub(rs.isolatedAt) < timeout && s.suspectFits(js, rs, now):
 		return false
 	}
 	if started && !fresh {
@@ -203,6 +209,21 @@
 	return true
 }
 
+// awaitsStore reports whether a start of a job's suspect is counted for a runner, and the
+// store has yet to confirm that.
+func (s *State) awaitsStore(js *jobState, rs *runnerState) bool {
+	for _, o := range js.occs {
+		for _, st := range o.steps {
+			if slices.ContainsFunc(st.tasks, func(t *task) bool {
+				return t.reserved != 0 && js.storedVersion < t.reservedVersion && t.isCounted(t.reserved, rs)
+			}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Isolated reports whether a runner is isolated.
 func (s *State) Isolated(id runner.ID) bool {
 	rs := s.runners[id]
