sched: an earlier runner of a machine that had another since has ended

Long-running tasks of all pools waited up to 13 s for runners of previous terms whose machines had later runners, which replied.

Cause: a machine that is up without a runner may be about to name the one that the new leader waits for, so that this list does not count. A machine that the new leader moves is up without a runner for a while after each move, also if lists have named a later runner of it before.

A runner is one life of a machine. Once a list that this term requested names another one, the machine without a runner no longer holds up the end of the earlier one. The lists that end it must still be requested after the last start of previous leaders and the removal of its entry, and must not name it.

--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -166,9 +166,11 @@
 		return
 	}
 	listed := make(map[runner.ID]bool, len(machines))
+	named := make(map[machine.ID]bool)   // machines with a runner
 	unnamed := make(map[machine.ID]bool) // machines that are up without a runner, and not powered off
 	for i := range machines {
 		listed[machines[i].Runner] = true
+		named[machines[i].ID] = machines[i].Runner != ""
 		if machines[i].State == machine.Up && machines[i].Runner == "" && !s.isStandby(machines[i].Pool) {
 			unnamed[machines[i].ID] = true
 		}
@@ -179,7 +181,10 @@
 			continue
 		}
 		again := rs.unlistedLate
-		rs.unlisted = !listed[id] && !unnamed[machine.ID(rs.Machine)]
+		// A machine has one runner at a time: one that had another since is not about to
+		// name this one.
+		rs.machineReused = !listed[id] && (rs.machineReused || named[machine.ID(rs.Machine)])
+		rs.unlisted = !listed[id] && (rs.machineReused || !unnamed[machine.ID(rs.Machine)])
 		rs.unlistedLate = rs.unlisted && !rs.registered && rs.announced == nil && sent.After(max(rs.deregisteredAt, in.lastStart))
 		if !again || !rs.unlistedLate {
 			continue
--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -517,3 +517,21 @@
 		t.Error("no start within 8 s")
 	}
 }
+
+// TestWaitForReusedMachine guards against long-running tasks that wait over 9 s because
+// the machine of a runner of the previous term, which has a later runner by the first
+// lists, moves on and is up without a runner in the last ones.
+func TestWaitForReusedMachine(t *testing.T) {
+	f, _ := lostRunner(t)
+	got := f.startAfter(8, func(at int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		m := machine.Machine{ID: "m-a", State: machine.Up}
+		if at < 4 {
+			m.Runner = "c"
+		}
+		return []machine.Machine{m, {ID: "m-b", Runner: "b"}}
+	})
+	if got < 6 {
+		t.Errorf("started after %d s, want 6 to 8: the previous leader may send commands for 5 s", got)
+	}
+}
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -37,6 +37,7 @@
 	unreachable    bool           // it did not reply to the last poll
 	unlisted       bool           // the last list of machines that this term requested does not name it
 	unlistedLate   bool           // the same, and that list was requested late enough; see RunnersListed
+	machineReused  bool           // lists that this term requested have named another runner of its machine, and not this one since
 	followsAnother bool           // an earlier incarnation had the ID in this term
 	clock          clock.Reading
 	leaseUntil     clock.RunnerTime // latest lease end that any term may have sent
