sched: a result from before the last start does not clear a task of crashes

A long-running task that crashes its runners was started again under each new leader, however often it had crashed them.

Cause: a result that is not acknowledged is reported to each new leader, and one of a run that ended by itself cleared the record of its task, also if the crashes came after that run. Since long-running tasks are started on runners with a withheld result, none of their results there is ever acknowledged; before, it took a leader that ended between a result and its acknowledgment.

Evidence: TestEarlierResultClearsCrashes failed before, "record {Crashes:0 Immediate:0 Suspect:false Unresolved:0} after the result of attempt 1".

Only the result of the newest attempt clears the record. That of an earlier one still resolves its own start.

--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -95,8 +95,8 @@
 	if !js.open() {
 		return js
 	}
-	if res.Cause == runner.Done || res.Cause == runner.Failed {
-		s.clearCrashes(t)
+	if (res.Cause == runner.Done || res.Cause == runner.Failed) && res.Attempt >= t.attempt {
+		s.clearCrashes(t) // an earlier run, whose result is reported again, tells nothing of later ones
 	} else if r == nil || !r.unsettled {
 		s.startResolved(t, res.Attempt, rs)
 	}
--- a/internal/sched/suspect_test.go
+++ b/internal/sched/suspect_test.go
@@ -413,3 +413,29 @@
 		t.Errorf("outcome %v, want open", got)
 	}
 }
+
+// TestEarlierResultClearsCrashes guards against a task that is started again and again
+// while it crashes its runners, because a result from before the crashes, which was not
+// acknowledged, is reported to each new leader.
+func TestEarlierResultClearsCrashes(t *testing.T) {
+	f := newFixture(t, 200)
+	f.runner("a")
+	id := f.job(1, job.Step{LongRunning: true})
+	task := job.Task{Job: id}
+	f.settle(2)
+	f.s.runners["a"].withheld = 1 // no later result of this runner is acknowledged
+	f.end("a", task, 1, runner.Failed)
+	f.settle(2)
+	x := f.s.jobs[id].task(task)
+	if x.attempt < 2 {
+		t.Fatalf("attempt %d, want another after the failed one", x.attempt)
+	}
+	r := crash.Record{Crashes: 3, Immediate: 3, Suspect: true}
+	f.s.setCrashes(x, r)
+	next := f.nextTerm(id, 1)
+	next.results = f.results
+	next.runner("a")
+	if got := next.s.jobs[id].task(task).crashes; got != r {
+		t.Errorf("record %+v after the result of attempt 1, want %+v", got, r)
+	}
+}
