sched: prefer a powered-off machine to one that timely work needs

Long-running tasks that lacked a machine took an idle one that its pool needed for timely work, which got a powered-off one in its place: two moves, which are priced, and a pool short of a machine for the length of one.

Cause: the first machines to be chosen were the idle ones beyond what their pool keeps for long-running work, before those that are powered off.

Evidence: TestMachineOfTimelyWorkTaken failed before, "machine m-idle7 moves from idle to pool, though one is powered off".

Idle machines that no timely work needs come first, as before long-running work had its own order, then powered-off ones, then the other idle ones.

--- a/internal/sched/demand_test.go
+++ b/internal/sched/demand_test.go
@@ -171,3 +171,30 @@
 		})
 	}
 }
+
+// TestMachineOfTimelyWorkTaken guards against two moves in place of one: long-running
+// tasks get an idle machine that timely work of its pool needs, which is replaced by one
+// that is powered off.
+func TestMachineOfTimelyWorkTaken(t *testing.T) {
+	f := newPoolFixture(t)
+	f.s.indexStandby()
+	ds := f.s.poolDemands(f.now)
+	for _, d := range ds {
+		d.timely = d.machines
+		if d.pool == "pool" {
+			d.longRunning, d.timely = d.machines+1, d.machines+1
+		}
+		d.target = d.timely
+	}
+	for _, w := range []work{longRunningWork, timelyWork, allWork} {
+		f.s.fill(ds, w, f.now)
+	}
+	for _, ms := range f.s.machineStates {
+		if ms.movingTo != "" && ms.Pool != "off" {
+			t.Errorf("machine %s moves from %s to %s, though one is powered off", ms.ID, ms.Pool, ms.movingTo)
+		}
+	}
+	if n := len(f.movingTo("pool")); n != 1 {
+		t.Errorf("%d machines move to the pool, want 1", n)
+	}
+}
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -9,22 +9,21 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 )
 
-// donor chooses a machine to move to a pool for some work: an idle one of a pool that
-// has more than it keeps, or a powered-off one. Unless it is for late work, it may
-// also be a busy one without long-running tasks.
+// donor chooses a machine to move to a pool for some work: an idle one that its pool
+// does not need, a powered-off one, or an idle one of a pool that has more than it keeps.
+// Unless it is for late work, it may also be a busy one without long-running tasks.
 func (s *State) donor(ds []*poolDemand, to *poolDemand, w work, now clock.BootTime) *machineState {
-	for i := len(ds) - 1; i >= 0; i-- {
-		d := ds[i]
-		if d == to || d.machines <= d.kept(w) {
-			continue
-		}
-		if ms := s.takeMovable(d, &d.idle, to.pool, now); ms != nil {
-			return ms
-		}
+	if ms := s.takeIdle(ds, to, max(w, timelyWork), now); ms != nil {
+		return ms
 	}
 	if ms := s.standbyMachine(to.pool, now); ms != nil || w == allWork {
 		return ms
 	}
+	if w == longRunningWork {
+		if ms := s.takeIdle(ds, to, w, now); ms != nil {
+			return ms
+		}
+	}
 	for i := len(ds) - 1; i >= 0; i-- {
 		d := ds[i]
 		if d == to || d.machines <= d.kept(w)+1 {
@@ -38,6 +37,20 @@
 	return nil
 }
 
+// takeIdle takes an idle machine of a pool that has more than it keeps.
+func (s *State) takeIdle(ds []*poolDemand, to *poolDemand, w work, now clock.BootTime) *machineState {
+	for i := len(ds) - 1; i >= 0; i-- {
+		d := ds[i]
+		if d == to || d.machines <= d.kept(w) {
+			continue
+		}
+		if ms := s.takeMovable(d, &d.idle, to.pool, now); ms != nil {
+			return ms
+		}
+	}
+	return nil
+}
+
 // sortBusy orders the busy runners by when their runs are expected to have ended,
 // because a machine moves only then.
 func (d *poolDemand) sortBusy(now clock.BootTime) {
