--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -23,6 +23,9 @@
 	for p.Outcome = Completed; p.Outcome <= Cancelled; p.Outcome++ {
 		recorded.RoundTripOf(f, "progress-"+p.Outcome.String(), p, EncodeProgress, DecodeProgress)
 	}
+	// An earlier version counts no starts for a runner.
+	p.Outcome, p.Tasks[0].Counted = Cancelled, nil
+	recorded.RoundTripOf(f, "progress-1", p, EncodeProgress, DecodeProgress)
 
 	recorded.Open(t, "recorded.txt").Check("keys", []byte(strings.Join([]string{
 		Prefix, InputPrefix, JobPrefix, CancelPrefix, LeaderKey, ProgressPrefix, RosterKey, MachinesKey, WavePrefix, TermKey,
