sched: isolate no runner for a suspect that awaits a silent one

While a runner is silent under which a previous term counted starts, a batch suspect that would otherwise be given up is not started. One runner after the other, up to half of the pool with several such jobs, was kept from other work for 2 s each all the while.

Cause: the start was held back only where it is counted, after a runner had been isolated for it.

Evidence: TestRunnerIsolatedForSilentOne failed before, "the only runner that replies is isolated".

Such a task does not count as startable until the silent runner replies or loses its entry; then it is started or given up as before.

--- a/internal/sched/counted.go
+++ b/internal/sched/counted.go
@@ -127,6 +127,12 @@
 	})
 }
 
+// awaitsSilentRunner reports whether a suspect that may not be started again could be,
+// once a runner that is silent has replied. No runner is isolated for it until then.
+func (s *State) awaitsSilentRunner(t *task) bool {
+	return t.crashes.Suspect && !t.step.spec.LongRunning && t.reserved == 0 && t.crashes.Exhausted() && s.mayResolve(t)
+}
+
 // inheritCounted loads the starts that previous terms counted for a task.
 func (t *task) inheritCounted(p *job.TaskProgress) {
 	for _, c := range p.Counted {
--- a/internal/sched/counted_test.go
+++ b/internal/sched/counted_test.go
@@ -172,3 +172,30 @@
 		})
 	}
 }
+
+// TestRunnerIsolatedForSilentOne guards against runners that are kept from other work
+// for suspects which are not started until a runner that is silent replies.
+func TestRunnerIsolatedForSilentOne(t *testing.T) {
+	f, id := suspected(t, job.Step{})
+	f.s.PollFailed("b", f.now)
+	for _, on := range []runner.ID{"b", "c"} {
+		x := f.s.jobs[id].task(job.Task{Job: id})
+		if !f.planUntil(100, func() bool { return x.reserved != 0 }) {
+			t.Fatal("no start is counted")
+		}
+		f = f.nextTerm(id, 1, on)
+		for _, silent := range []runner.ID{"a", "b"} {
+			if f.s.runners[silent] == nil {
+				f.s.SetRunner(info(silent, "pool"), f.now)
+			}
+		}
+	}
+	f.planUntil(100, func() bool { return false })
+	if f.planUntil(200, func() bool { return f.s.runners["c"].isolated != nil }) {
+		t.Error("the only runner that replies is isolated")
+	}
+	f.report("a")
+	if !f.planUntil(100, f.s.jobs[id].task(job.Task{Job: id}).live) {
+		t.Error("no start after the silent runner has replied")
+	}
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -187,5 +187,5 @@
 	if t.done || !t.job.open() || t.live() || t.notBefore.After(now) || t.isGivenUp() {
 		return false
 	}
-	return s.runsKnown(t) && !s.awaitsStablePool(t, now)
+	return s.runsKnown(t) && !s.awaitsStablePool(t, now) && !s.awaitsSilentRunner(t)
 }
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -39,7 +39,7 @@
 	counted := !t.crashes.Suspect || rs == nil || t.isCounted(attempt, rs)
 	if t.reserved != attempt || !counted {
 		if t.crashes.Suspect {
-			if t.reserved != attempt && t.crashes.Exhausted() && !t.step.spec.LongRunning && (s.mayResolve(t) || s.giveUp(t, nil, now)) {
+			if t.reserved != attempt && t.crashes.Exhausted() && !t.step.spec.LongRunning && s.giveUp(t, nil, now) {
 				return false
 			}
 			t.countStart(attempt, rs)
