--- a/internal/sched/evidence_test.go
+++ b/internal/sched/evidence_test.go
@@ -518,6 +518,24 @@
 	}
 }
 
+// TestWaitForReusedMachine guards against long-running tasks that wait over 9 s because
+// the machine of a runner of the previous term, which has a later runner by the first
+// lists, moves on and is up without a runner in the last ones.
+func TestWaitForReusedMachine(t *testing.T) {
+	f, _ := lostRunner(t)
+	got := f.startAfter(8, func(at int) []machine.Machine {
+		f.s.DeregisterRunner("a", f.now)
+		m := machine.Machine{ID: "m-a", State: machine.Up}
+		if at < 4 {
+			m.Runner = "c"
+		}
+		return []machine.Machine{m, {ID: "m-b", Runner: "b"}}
+	})
+	if got < 6 {
+		t.Errorf("started after %d s, want 6 to 8: the previous leader may send commands for 5 s", got)
+	}
+}
+
 // TestRestartedRunnerLost guards against a long-running task that waits over 9 s for the
 // lease of a runner that had started again in this term and is then lost for good.
 func TestRestartedRunnerLost(t *testing.T) {
--- a/internal/sched/previous.go
+++ b/internal/sched/previous.go
@@ -66,16 +66,18 @@
 		if s.mayEndUnlisted(rs) {
 			silent = append(silent, rs)
 		} else {
-			rs.unlisted, rs.unlistedLate = false, false
+			rs.unlisted, rs.unlistedLate, rs.machineReused = false, false, false
 		}
 	}
 	if len(silent) == 0 {
 		return
 	}
 	listed := make(map[runner.ID]bool, len(machines))
+	named := make(map[machine.ID]bool)   // machines with a runner
 	unnamed := make(map[machine.ID]bool) // machines that are up without a runner, and not powered off
 	for i := range machines {
 		listed[machines[i].Runner] = true
+		named[machines[i].ID] = machines[i].Runner != ""
 		if machines[i].State == machine.Up && machines[i].Runner == "" && !s.isStandby(machines[i].Pool) {
 			unnamed[machines[i].ID] = true
 		}
@@ -83,7 +85,10 @@
 	slices.SortFunc(silent, compareRunners)
 	for _, rs := range silent {
 		again := rs.unlistedLate
-		rs.unlisted = !listed[rs.ID] && !unnamed[machine.ID(rs.Machine)]
+		// A machine has one runner at a time: one that had another since is not about to
+		// name this one.
+		rs.machineReused = !listed[rs.ID] && (rs.machineReused || named[machine.ID(rs.Machine)])
+		rs.unlisted = !listed[rs.ID] && (rs.machineReused || !unnamed[machine.ID(rs.Machine)])
 		rs.unlistedLate = rs.unlisted && !rs.registered && rs.announced == nil && sent.After(s.goneSince(rs))
 		if !again || !rs.unlistedLate {
 			continue
