sched: count the starts of a gang for the runners of its members

Their starts were counted without a runner, so that a later leader could not resolve them. Found by the review.

TestUnsentGangStartsEndTask failed before: outcome failed with Unresolved 2 (batch), and no start with Unresolved 4 (long-running), while all runners go on.

Each member is now counted for the runner that it was chosen for, and keeps it while the store writes, so that no second write is needed. A reservation that a higher attempt of the gang replaces is counted once.

--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -48,9 +48,9 @@
 // CountedStart is a start that was counted before it was sent.
 type CountedStart struct {
 	Attempt int `cbor:"1,keyasint"`
-	// Runner is the one that it was counted for; empty if it may be sent to any.
-	Runner      string `cbor:"2,keyasint,omitempty"`
-	Incarnation int64  `cbor:"3,keyasint,omitempty"`
+	// Runner is the one that it was counted for.
+	Runner      string `cbor:"2,keyasint"`
+	Incarnation int64  `cbor:"3,keyasint"`
 }
 
 // Progress is the durable record of a job's progress. The leader writes it. A
--- a/internal/sched/counted.go
+++ b/internal/sched/counted.go
@@ -15,24 +15,20 @@
 // accepts, the start is resolved, whether or not it was sent.
 type countedStart struct {
 	attempt     int
-	on          runner.ID // empty for a member of a gang, which may be sent to any runner
+	on          runner.ID
 	incarnation runner.Incarnation
 }
 
 // isFor reports whether a start was counted for the present incarnation of a runner.
 func (c countedStart) isFor(rs *runnerState) bool {
-	return c.on == "" || c.on == rs.ID && c.incarnation == rs.Incarnation
+	return c.on == rs.ID && c.incarnation == rs.Incarnation
 }
 
-// countStart counts the next start of a suspect, on a runner or, for a gang, on nil. A
-// start that was counted for another runner has not been sent, and is counted for this
-// one instead.
+// countStart counts the next start of a suspect, on a runner. A start that is
+// reserved for another runner or attempt has not been sent, and this one replaces it.
 func (t *task) countStart(attempt int, rs *runnerState) {
-	c := countedStart{attempt: attempt}
-	if rs != nil {
-		c.on, c.incarnation = rs.ID, rs.Incarnation
-	}
-	if i := t.countedAs(attempt); i >= 0 {
+	c := countedStart{attempt: attempt, on: rs.ID, incarnation: rs.Incarnation}
+	if i := t.countedAs(t.reserved); t.reserved != 0 && i >= 0 {
 		t.counted[i] = c
 		return
 	}
@@ -162,15 +158,23 @@
 	r.task.forgetStart(r.attempt)
 }
 
-// countedFor returns the runner that the next start of a task is counted for, if it can
-// still be sent there, or nil.
-func (s *State) countedFor(t *task, now clock.BootTime) *runnerState {
+// countedRunner returns the runner that the next start of a task is counted for, or nil.
+func (s *State) countedRunner(t *task) *runnerState {
 	i := t.countedAs(t.reserved)
 	if t.reserved == 0 || i < 0 {
 		return nil
 	}
-	rs := s.runners[t.counted[i].on]
-	if rs == nil || !t.counted[i].isFor(rs) || rs.isolated != t.job || !s.eligible(rs, t, now) {
+	if rs := s.runners[t.counted[i].on]; rs != nil && t.counted[i].isFor(rs) {
+		return rs
+	}
+	return nil
+}
+
+// isolatedFor returns the isolated runner that the next start of a task is counted for,
+// if it can still be sent there, or nil.
+func (s *State) isolatedFor(t *task, now clock.BootTime) *runnerState {
+	rs := s.countedRunner(t)
+	if rs == nil || rs.isolated != t.job || !s.eligible(rs, t, now) {
 		return nil
 	}
 	return rs
--- a/internal/sched/counted_test.go
+++ b/internal/sched/counted_test.go
@@ -199,3 +199,25 @@
 		t.Error("no start after the silent runner has replied")
 	}
 }
+
+// TestUnsentGangStartsEndTask guards against a gang that is given up because leaders
+// ended after they had counted its start, and before they sent it, while all runners go on.
+func TestUnsentGangStartsEndTask(t *testing.T) {
+	for name, step := range map[string]job.Step{"batch": {Gang: true, Count: 2}, "long-running": {Gang: true, Count: 2, LongRunning: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 200)
+			f.runner("a", "b")
+			id := f.job(1, step)
+			for i := range 2 {
+				f.s.setCrashes(f.s.jobs[id].task(job.Task{Job: id, Index: i}), crash.Record{Crashes: 1, Immediate: 1, Suspect: true})
+			}
+			for range 6 {
+				x := f.s.jobs[id].task(job.Task{Job: id})
+				if !f.planUntil(200, func() bool { return x.reserved != 0 || x.live() }) {
+					t.Fatalf("no start is counted with record %+v, outcome %v", x.crashes, f.outcome(id))
+				}
+				f = f.nextTerm(id, 1, "a", "b")
+			}
+		})
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		rs := last
-		switch counted := s.countedFor(t, now); {
+		switch counted := s.isolatedFor(t, now); {
 		case counted != nil:
 			if rs = counted; !s.allowed(rs, t, now) {
 				continue // it is isolated for the task and replies soon, or its isolation ends
@@ -276,12 +276,11 @@
 		if chosen == nil {
 			continue
 		}
-		for _, t := range st.tasks {
-			if !s.reserve(t, nil, attempt, now) {
-				chosen = nil
-			}
+		reserved := true
+		for i, t := range st.tasks {
+			reserved = s.reserve(t, chosen[i], attempt, now) && reserved
 		}
-		if chosen == nil {
+		if !reserved {
 			return
 		}
 		for i, t := range st.tasks {
@@ -327,6 +326,7 @@
 	var chosen []*runnerState
 	for _, t := range st.tasks {
 		var best *runnerState
+		counted := s.countedRunner(t)
 		for _, rs := range runners {
 			if !s.allowed(rs, t, now) || !d.Fits(free[rs.ID]) {
 				continue
@@ -334,6 +334,10 @@
 			if st.spec.PerRunner > 0 && count[rs.ID] >= st.spec.PerRunner {
 				continue
 			}
+			if rs == counted {
+				best = rs // otherwise its start would have to be counted again
+				break
+			}
 			if best == nil || free[rs.ID].CPU > free[best.ID].CPU {
 				best = rs
 			}
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
-	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
 // A run on a runner that became unreachable may have ended as done before its
@@ -31,12 +30,12 @@
 // reserve reports whether a run of a task may be started with an attempt
 // number. If the task may have an unreported result, or is suspected of crashing
 // its runners, the store must hold the number first, and the count of a suspect's
-// starts with the runner that this one is to be sent to, which is nil for a gang.
+// starts with the runner that this one is to be sent to.
 func (s *State) reserve(t *task, rs *runnerState, attempt int, now clock.BootTime) bool {
 	if !s.mayHaveResult(t) && !t.crashes.Suspect {
 		return true
 	}
-	counted := !t.crashes.Suspect || rs == nil || t.isCounted(attempt, rs)
+	counted := !t.crashes.Suspect || t.isCounted(attempt, rs)
 	if t.reserved != attempt || !counted {
 		if t.crashes.Suspect {
 			if t.reserved != attempt && t.crashes.Exhausted() && !t.step.spec.LongRunning && s.giveUp(t, nil, now) {
@@ -47,7 +46,7 @@
 		t.reserved, t.attempt = attempt, max(t.attempt, attempt)
 		s.markChanged(t.job)
 		t.reservedVersion = t.job.version
-		s.Logger.Log("msg", "attempt number reserved", "task", t.name, "attempt", attempt, "runner", countedID(rs),
+		s.Logger.Log("msg", "attempt number reserved", "task", t.name, "attempt", attempt, "runner", rs.ID,
 			"suspect", t.crashes.Suspect, "crashes", t.crashes.Crashes, "unresolved", t.crashes.Unresolved)
 	}
 	return t.job.storedVersion >= t.reservedVersion
@@ -67,14 +66,6 @@
 	return t.attempt + 1
 }
 
-// countedID returns the ID of the runner that a start is counted for, for the log.
-func countedID(rs *runnerState) runner.ID {
-	if rs == nil {
-		return ""
-	}
-	return rs.ID
-}
-
 // inheritedAttemptGap is how many attempt numbers are skipped for unrecorded
 // runs of previous terms.
 const inheritedAttemptGap = 4
