--- a/internal/sched/stability_test.go
+++ b/internal/sched/stability_test.go
@@ -311,3 +311,27 @@
 		t.Error("stable after the loss of 5 of 10 runners, 4 of them isolated")
 	}
 }
+
+// TestBurstAtLastStart guards against a job that fails because the start that its task
+// had waited for a stable pool with was lost in the next burst of crashes, before its
+// runner confirmed it.
+func TestBurstAtLastStart(t *testing.T) {
+	b := newBurst(newFixture(t, 1), 24)
+	b.run(4*time.Second, harmless)
+	id := b.job(1, job.Step{})
+	x := b.s.jobs[id].task(job.Task{Job: id})
+	b.s.setCrashes(x, crash.Record{Crashes: 1, Immediate: 1, Suspect: true, Unresolved: 1})
+	lost := 0
+	b.lose = func() {
+		if lost++; lost == 1 {
+			for _, other := range b.up()[:10] {
+				b.crash(other)
+			}
+		}
+		b.lose = nil
+	}
+	b.run(4*time.Second, harmless)
+	if got := b.outcome(id); got != job.Open || lost == 0 {
+		t.Errorf("outcome %v after %d lost starts, record %+v: one runner has certainly crashed under the task", got, lost, x.crashes)
+	}
+}
--- a/internal/sched/withhold_test.go
+++ b/internal/sched/withhold_test.go
@@ -179,3 +179,30 @@
 		})
 	}
 }
+
+// TestReservedAttemptWithholdsResult guards against a runner that is given no batch
+// tasks again because of a second attempt that was reserved and never started.
+func TestReservedAttemptWithholdsResult(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a", "b")
+	f.job(1, job1)
+	start := ofKind(f.plan(), StartRun)[0]
+	f.accept([]Command{start})
+	a, b := start.To.ID, map[runner.ID]runner.ID{"a": "b", "b": "a"}[start.To.ID]
+	f.report(a, runner.Run{Task: start.Task, Attempt: 1, Percent: 100})
+	f.flush()
+	f.end(a, start.Task, 1, runner.Done)
+	f.s.PollFailed(a, f.now)
+	for range 20 {
+		f.now += second
+		f.report(b)
+		f.s.ConfirmTerm(f.now)
+		if got := ofKind(f.plan(), StartRun); len(got) > 0 {
+			t.Fatalf("started before the attempt is stored: %v", got)
+		}
+	}
+	f.report(a)
+	if f.s.runners[a].withheld != 0 {
+		t.Error("the result is withheld for an attempt that was not started")
+	}
+}
