--- a/internal/sched/counted_test.go
+++ b/internal/sched/counted_test.go
@@ -50,6 +50,25 @@
 	return f, id
 }
 
+// startWithoutEnd starts a suspect until no leader starts it any more; next lets its runner
+// crash and returns the leader that follows. The test fails after more starts than a
+// task that crashes its runners may have.
+func startWithoutEnd(t *testing.T, step job.Step, next func(f *fixture, x *task, in runner.Incarnation) *fixture) {
+	const allowed = 5
+	f, id := suspected(t, step)
+	starts := 1
+	for in := runner.Incarnation(1); ; in++ {
+		x := f.s.jobs[id].task(job.Task{Job: id})
+		if !f.planUntil(200, x.live) {
+			return
+		}
+		if starts++; starts > allowed {
+			t.Fatalf("started %d times, record %+v", starts, x.crashes)
+		}
+		f = next(f, x, in)
+	}
+}
+
 // TestUnsentStartsEndTask guards against a task that is given up because leaders ended
 // after they had counted a start of it, and before they sent it, while the runners that
 // it was counted for go on.
@@ -77,19 +96,9 @@
 func TestStartOfEndedRunnerForgotten(t *testing.T) {
 	for name, step := range map[string]job.Step{"batch": {}, "long-running": {LongRunning: true}} {
 		t.Run(name, func(t *testing.T) {
-			f, id := suspected(t, step)
-			const allowed = 5 // starts of a task that crashes its runners
-			starts := 1
-			for in := runner.Incarnation(1); ; in++ {
-				x := f.s.jobs[id].task(job.Task{Job: id})
-				if !f.planUntil(200, x.live) {
-					break
-				}
-				if starts++; starts > allowed {
-					t.Fatalf("started %d times, record %+v", starts, x.crashes)
-				}
-				f = f.nextTerm(id, in+1, "a", "b")
-			}
+			startWithoutEnd(t, step, func(f *fixture, x *task, in runner.Incarnation) *fixture {
+				return f.nextTerm(x.name.Job, in+1, "a", "b")
+			})
 		})
 	}
 }
@@ -143,19 +152,9 @@
 func TestAdoptedSuspectForgotten(t *testing.T) {
 	for name, step := range map[string]job.Step{"batch": {}, "long-running": {LongRunning: true}} {
 		t.Run(name, func(t *testing.T) {
-			f, id := suspected(t, step)
-			const allowed = 5 // starts of a task that crashes its runners
-			starts := 1
-			for in := runner.Incarnation(1); ; in++ {
-				x := f.s.jobs[id].task(job.Task{Job: id})
-				if !f.planUntil(200, x.live) {
-					break
-				}
-				if starts++; starts > allowed {
-					t.Fatalf("started %d times, record %+v", starts, x.crashes)
-				}
+			startWithoutEnd(t, step, func(f *fixture, x *task, in runner.Incarnation) *fixture {
 				on, run := x.runs[0].runner.ID, runner.Run{Task: x.name, Attempt: x.runs[0].attempt, Percent: 100}
-				f = f.nextTerm(id, in)
+				f = f.nextTerm(x.name.Job, in)
 				for _, r := range []runner.ID{"a", "b"} {
 					i := info(r, "pool")
 					i.Incarnation = in
@@ -167,8 +166,8 @@
 					}
 				}
 				f.plan() // it ends before it sees the crash
-				f = f.nextTerm(id, in+1, "a", "b")
-			}
+				return f.nextTerm(x.name.Job, in+1, "a", "b")
+			})
 		})
 	}
 }
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -329,26 +329,3 @@
 	}
 	return n
 }
-
-// Stats are sizes of the state, for metrics.
-type Stats struct {
-	Open, Jobs, Runners, Reachable, Runs int
-	// Waiting is how many long-running tasks were without a run for a while when
-	// they were last logged.
-	Waiting int
-}
-
-// Stats returns the sizes of the state.
-func (s *State) Stats() Stats {
-	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting}
-	for _, jobs := range s.open {
-		c.Open += len(jobs)
-	}
-	for _, rs := range s.runners {
-		c.Runs += len(rs.runs)
-		if rs.replied && !rs.unreachable {
-			c.Reachable++
-		}
-	}
-	return c
-}
