--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -114,9 +114,8 @@
 	}
 }
 
-// kill ends the runner and all that runs on it. Its entry is removed after the
-// given time.
-func (r *runner) kill(why string, entryFor time.Duration) {
+// kill ends the runner and all that runs on it, and removes its entry.
+func (r *runner) kill(why string) {
 	r.mu.Lock()
 	if r.dead {
 		r.mu.Unlock()
@@ -134,7 +133,7 @@
 	close(r.done)
 	r.server.Close()
 	r.w.logf("runner %s of %s ends (%s) with %d tasks %s", r.id, r.machine.id, why, len(names), strings.Join(names, " "))
-	time.AfterFunc(entryFor, func() { r.w.store.remove("servers/" + r.id) })
+	r.w.store.remove("servers/" + r.id)
 }
 
 func (r *runner) notify() {
