--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,7 +15,7 @@
 func main() {
 	runtime.LockOSThread() // daemons end with the thread that started them
 	cases := map[string]func(*world){
-		"apart": (*world).apart, "rollback": (*world).rollback, "silent": (*world).silent, "odd": (*world).odd,
+		"overlap": (*world).overlap, "apart": (*world).apart, "rollback": (*world).rollback, "silent": (*world).silent, "odd": (*world).odd,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin-2 CASE RECORD-FILE")
