--- a/review/standin-2/odd.go
+++ b/review/6/standin/odd.go
@@ -12,15 +12,16 @@
 func (w *world) odd() {
 	const (
 		machines = 9
+		inWave   = 4
 		tasks    = 4
 		mayMiss  = 1
 		lasting  = "00000000000000ff"
 	)
 	w.configure(1, []route{{"grade-recount", "ascent", 2}}, []string{"ascent"})
-	names := []string{}
+	all := []string{}
 	for i := range machines {
 		m := w.addMachine(fmt.Sprintf("m-%d", i), "ascent", fmt.Sprintf("r-%d", i/4))
-		names = append(names, m.id)
+		all = append(all, m.id)
 	}
 	w.startDaemons(3)
 	w.submit("grade-recount", lasting, []map[string]any{{
@@ -30,6 +31,22 @@
 		w.broken("the lasting job does not run")
 	}
 	time.Sleep(2 * time.Second)
+	// The wave has the machines of two tasks, and two others without any.
+	var names, others []string
+	w.mu.Lock()
+	for _, id := range all {
+		r := w.machines[id].runner
+		r.mu.Lock()
+		switch {
+		case r.running[lasting+".0.0.0"] != nil || r.running[lasting+".0.0.1"] != nil:
+			names = append(names, id)
+		case len(r.running) == 0:
+			others = append(others, id)
+		}
+		r.mu.Unlock()
+	}
+	w.mu.Unlock()
+	names = append(names, others[:inWave-len(names)]...)
 	if w.trouble {
 		for i := range 2 {
 			for _, r := range w.runnersWith(fmt.Sprintf("%s.0.0.%d", lasting, i)) {
@@ -43,7 +60,7 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	w.sendWave(1, names, 24, machines)
+	w.sendWave(1, names, 24, inWave)
 	waitFor(32*time.Second, func() bool { return w.waveState(1) == "completed" })
 	time.Sleep(time.Second)
 	w.logf("state of wave 1: %q", w.waveState(1))
--- a/review/standin-2/overlap.go
+++ b/review/6/standin/overlap.go
@@ -15,7 +15,8 @@
 		traffic  = 36 * time.Second
 		finish   = 14 * time.Second // finish_s
 	)
-	w.configure(1, []route{{"send-log", "ascent", 4}, {"reset-plan", "ascent", 4}}, []string{"ascent"})
+	w.configure(1, []route{{"send-log", "ascent", 4}, {"reset-plan", "ascent", 4}}, []string{"ascent", "setline", "beta"})
+	w.addOthers()
 	names := []string{}
 	for i := range machines {
 		m := w.addMachine(fmt.Sprintf("m-%d", i), "ascent", fmt.Sprintf("r-%d", i/2))
