sched: take a machine for a wave only if its long-running tasks can leave

Cause: a machine drains until its runner is empty, and a long-running task leaves only for another runner that has room. Nothing else ended the drain, whether the tasks could leave was not asked when the machine was taken, and an urgent wave took all machines that were left.

Evidence: in the log of the case "machine drain started" for two machines at 0 s and four at 12 s, no "machine command finished", and "pool planned" with machines=0 and a growing number of jobs until the end.

Change: a machine is taken only if its long-running tasks can move, also once batch tasks have ended elsewhere, or can be displaced: stopped without a replacement, all of a machine at once and within the MaxUnavailable of their steps, when the wave cannot wait for room any longer. A drain in which no task can leave for 4 s is given up. Both are logged, and so is a wave that waits. This works since each drain now ends: by its tasks leaving, or by itself.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -45,7 +45,7 @@
 			unavailable++
 		}
 	}
-	return unavailable < max(t.step.spec.MaxUnavailable, 1)
+	return unavailable < t.step.allowedUnavailable()
 }
 
 // available reports whether a long-running task is available: it runs, has
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -68,7 +68,13 @@
 
 // couldTake reports whether a runner may be given a task of a step once it has room.
 func (s *State) couldTake(rs *runnerState, st *step, now clock.BootTime) bool {
-	return s.usable(rs, now) && (rs.isolated == nil || rs.isolated == st.occ.job) && rs.health.allows(now, rs.probes()) && (st.permits.denied[rs.ID] == 0 || s.permitted(rs, st, now)) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
+	return s.usable(rs, now) && s.suits(rs, st, now)
+}
+
+// suits reports whether a runner may be given a task of a step once it is usable and has
+// room.
+func (s *State) suits(rs *runnerState, st *step, now clock.BootTime) bool {
+	return (rs.isolated == nil || rs.isolated == st.occ.job) && rs.health.allows(now, rs.probes()) && (st.permits.denied[rs.ID] == 0 || s.permitted(rs, st, now)) && rs.HasLabel(st.spec.Label) && (st.spec.PerRunner == 0 || runsOfStep(rs, st.tasks[0]) < st.spec.PerRunner)
 }
 
 // holdRunners keeps batch tasks off some runners of the pools in which
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -77,6 +77,7 @@
 	arrivals       map[string]arrival          // by pool
 	maintained     map[machine.ID]bool         // see indexMaintenances
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
+	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
 	needs          map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
 	heldAt         clock.BootTime              // when that was
@@ -118,6 +119,7 @@
 		intents:        make(map[machine.ID]Intent),
 		maintained:     make(map[machine.ID]bool),
 		leaving:        make(map[*step]int),
+		takers:         make(map[*step][]*runnerState),
 		unplaced:       make(map[*step]int),
 		suspected:      make(map[*jobState]bool),
 		countedOn:      make(map[runner.ID][]job.Task),
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -32,6 +32,10 @@
 	notBefore   clock.BootTime // no command before this time
 	sent        bool           // a command is in flight
 	busyUntil   clock.BootTime // if it is still busy then, the wave may continue without it; zero: it is not busy
+	// refusedUntil is until when it is not examined again, since its tasks cannot leave.
+	refusedUntil clock.BootTime
+	blockedAt    clock.BootTime // since when it drains and no task on it can leave; zero: some can
+	givenBack    bool           // a drain was given up
 }
 
 // wave is a wave of the operators with its progress.
@@ -42,6 +46,10 @@
 	dueWall      time.Time // the same time by the wall clock, for the next term
 	completed    bool
 	storedStatus string // status that the store holds
+	// tasksLeft are the long-running tasks on machines that have yet to leave, in this
+	// pass; nil: not counted yet.
+	tasksLeft map[*step]int
+	loggedAt  clock.BootTime // see logWave
 }
 
 const (
@@ -165,6 +173,8 @@
 // commands.
 func (s *State) planWaves(now clock.BootTime) {
 	clear(s.leaving)
+	clear(s.takers)
+	s.indexMaintenances()
 	s.cordon(now)
 	s.reviewKeptRoom(now)
 	for _, rs := range s.runners {
@@ -188,6 +198,7 @@
 
 func (s *State) planWave(w *wave, now clock.BootTime) {
 	active, left := 0, 0
+	w.tasksLeft = nil
 	for _, m := range w.maintenances {
 		s.advanceMaintenance(m, now)
 		if m.phase != waiting && m.phase != returned {
@@ -202,6 +213,7 @@
 		s.Logger.Log("msg", "wave completed", "wave", w.Number, "left", w.due.Sub(now))
 		return
 	}
+	s.logWave(w, now)
 	maxUnavailable := w.MaxUnavailable
 	if s.shortage {
 		maxUnavailable = s.neededAtOnce(w, now)
@@ -209,6 +221,7 @@
 	for ; active < maxUnavailable; active++ {
 		m := s.nextMaintenance(w, now)
 		if m == nil {
+			s.wantRoom(w, now)
 			return
 		}
 		m.phase, m.since = draining, now
@@ -229,7 +242,7 @@
 			left++
 		}
 	}
-	perMachine := s.Limits.MaintenanceTime + drainTimeout/2
+	perMachine := s.timePerMachine()
 	remaining := w.due.Sub(now) - waveReserve
 	if remaining <= perMachine {
 		return w.MaxUnavailable
@@ -237,8 +250,24 @@
 	return min(w.MaxUnavailable, int(math.Ceil(float64(left)*float64(perMachine)/float64(remaining))))
 }
 
-// nextMaintenance returns the machine whose absence costs least now, or nil.
+// nextMaintenance returns the machine whose absence costs least now, among those that
+// its long-running tasks can leave, or nil.
 func (s *State) nextMaintenance(w *wave, now clock.BootTime) *maintenance {
+	for range maxRefusals {
+		m := s.cheapestMaintenance(w, now)
+		if m == nil {
+			return nil
+		}
+		if rs := s.runnerOf(m.id); rs == nil || s.canTake(m, rs, now) {
+			return m
+		}
+		m.refusedUntil = now.Add(refusalTime)
+	}
+	return nil
+}
+
+// cheapestMaintenance returns the machine whose absence costs least now, or nil.
+func (s *State) cheapestMaintenance(w *wave, now clock.BootTime) *maintenance {
 	taken, all := make(map[string]int), make(map[string]int)
 	for _, rs := range s.runners {
 		if s.hasLeft(rs) {
@@ -252,7 +281,7 @@
 	var best *maintenance
 	var bestCost [2]int
 	for _, m := range w.maintenances {
-		if m.phase != waiting || m.notBefore.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
+		if m.phase != waiting || m.notBefore.After(now) || m.refusedUntil.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
 			continue
 		}
 		cost := [2]int{}
@@ -302,6 +331,8 @@
 				if now.Sub(m.since) > drainTimeout && s.urgent(m.wave, now) {
 					s.stopBatch(rs)
 				}
+				s.displace(m, rs, now)
+				s.giveBack(m, rs, now)
 				return
 			}
 			if rs.hasUnacked() {
