sched: let one wave at a time have a machine

Cause: a machine has one intent with one pending wave. Two maintenances of a machine that became ready in the same pass replaced each other's intent in every pass, so that neither sent its command, and both kept the runner cordoned. Nothing kept a wave from taking a machine of another one.

Evidence: the log of the case has "machine drain started" for all six machines and both waves at 12 s, and no "machine command finished" after their last runs ended at 16 s.

Change: a wave takes only machines that no other wave has, and the wave that is due first is planned first. If a command of a previous term becomes known late, the wave that has got furthest with the machine keeps it; a new leader waits with a machine that a previous term may have begun to maintain for another wave. A machine that any wave has counts for the cap of each of its waves. The fix works since an intent now has one writer at a time.

--- a/internal/sched/cordon.go
+++ b/internal/sched/cordon.go
@@ -13,7 +13,7 @@
 			continue
 		}
 		for _, m := range w.maintenances {
-			if rs := s.runnerOf(m.id); rs != nil && m.phase != waiting && m.phase != returned {
+			if rs := s.runnerOf(m.id); rs != nil && m.isActive() {
 				rs.cordoned = true
 			}
 		}
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -51,7 +51,7 @@
 // maintenance will have room for one more task of a step.
 func (s *State) roomReturns(rs *runnerState, st *step, now clock.BootTime) bool {
 	return slices.ContainsFunc(s.byPool[s.service(st.occ.job)], func(x *runnerState) bool {
-		return x != rs && (x.cordoned || x.ended && s.maintained[machine.ID(x.Machine)]) && s.suits(x, st, now) && st.spec.Demand().Fits(x.freeOfBatch())
+		return x != rs && (x.cordoned || x.ended && s.maintained[machine.ID(x.Machine)] != nil) && s.suits(x, st, now) && st.spec.Demand().Fits(x.freeOfBatch())
 	})
 }
 
--- a/internal/sched/displace_test.go
+++ b/internal/sched/displace_test.go
@@ -28,7 +28,7 @@
 			f := newFleet(t, 6)
 			f.submit(c.step)
 			f.run(2 * time.Second)
-			f.wave(1, 26*time.Second, f.machines...)
+			f.wave(1, 6, 26*time.Second, f.machines...)
 			if d := f.run(40 * time.Second); d > 3*time.Second {
 				t.Errorf("no batch task was started for %v", d)
 			}
@@ -59,7 +59,7 @@
 			room = m
 		}
 	}
-	f.wave(1, time.Minute, leaving)
+	f.wave(1, 1, time.Minute, leaving)
 	f.pass()
 	if !f.s.runners[leaving.id].cordoned {
 		t.Fatal("the machine is not drained while another runner has room")
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -114,13 +114,14 @@
 }
 
 // indexMaintenances lists the machines that a wave has taken and that have not
-// returned.
+// returned. Two waves can have taken one only if a command of a previous term became
+// known late: the wave that has got furthest with it has it.
 func (s *State) indexMaintenances() {
 	clear(s.maintained)
 	for _, w := range s.waves {
 		for _, m := range w.maintenances {
-			if m.phase != waiting && m.phase != returned {
-				s.maintained[m.id] = true
+			if x := s.maintained[m.id]; m.isActive() && (x == nil || cmp.Or(cmp.Compare(m.phase, x.phase), cmp.Compare(x.wave.Number, w.Number)) > 0) {
+				s.maintained[m.id] = m
 			}
 		}
 	}
@@ -132,5 +133,5 @@
 	if ms.movingTo != "" || ms.State != machine.Up || ms.unfit[to] || ms.notBefore.After(now) {
 		return false
 	}
-	return !s.maintained[ms.ID]
+	return s.maintained[ms.ID] == nil
 }
--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 	jobs     []job.ID
 	waves    []machine.Wave
 	progress map[job.ID]*job.Progress
-	// faults are the violations of MaxUnavailable.
+	// faults are the violations of the MaxUnavailable of steps and waves.
 	faults []string
 }
 
@@ -62,8 +63,8 @@
 }
 
 // wave requests the maintenance of machines.
-func (f *fleet) wave(number int, within time.Duration, machines ...*fleetMachine) {
-	w := machine.Wave{Number: number, MaxUnavailable: len(machines), Within: within}
+func (f *fleet) wave(number, maxUnavailable int, within time.Duration, machines ...*fleetMachine) {
+	w := machine.Wave{Number: number, MaxUnavailable: maxUnavailable, Within: within}
 	for _, m := range machines {
 		w.Machines = append(w.Machines, "m-"+machine.ID(m.id))
 	}
@@ -146,6 +147,7 @@
 			for _, t := range sortedKeys(m.runs) {
 				f.interrupt(m, t)
 			}
+			f.takeDown(c)
 			m.upkeeps[c.Wave]++
 			m.incarnation, m.downUntil, m.results, m.runs = m.incarnation+1, f.now.Add(fleetUpkeep), nil, make(map[job.Task]*fleetRun)
 			f.s.HandleMachineReply(c, machine.Accepted, true, f.now)
@@ -166,6 +168,19 @@
 	}
 }
 
+// takeDown checks that the MaxUnavailable of its wave allows to take a machine down.
+func (f *fleet) takeDown(c *Command) {
+	w, n := f.s.waves[c.Wave].Wave, 0
+	for _, m := range f.machines {
+		if m.downUntil.After(f.now) && slices.Contains(w.Machines, "m-"+machine.ID(m.id)) {
+			n++
+		}
+	}
+	if n >= w.MaxUnavailable {
+		f.faults = append(f.faults, fmt.Sprintf("%s taken down for wave %d while %d of its machines are", c.Machine, c.Wave, n))
+	}
+}
+
 // interrupt checks that the MaxUnavailable of its step allows to end a run.
 func (f *fleet) interrupt(on *fleetMachine, t job.Task) {
 	atWork := func(t job.Task) bool {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -75,7 +75,7 @@
 	waitLoggedAt   clock.BootTime              // when the waiting tasks were last logged
 	waiting        int                         // see Stats
 	arrivals       map[string]arrival          // by pool
-	maintained     map[machine.ID]bool         // see indexMaintenances
+	maintained     map[machine.ID]*maintenance // see indexMaintenances
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
@@ -117,7 +117,7 @@
 		machineStates:  make(map[machine.ID]*machineState),
 		arrivals:       make(map[string]arrival),
 		intents:        make(map[machine.ID]Intent),
-		maintained:     make(map[machine.ID]bool),
+		maintained:     make(map[machine.ID]*maintenance),
 		leaving:        make(map[*step]int),
 		takers:         make(map[*step][]*runnerState),
 		unplaced:       make(map[*step]int),
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 	givenBack    bool           // a drain was given up
 }
 
+// isActive reports whether a wave has taken the machine, which has not returned.
+func (m *maintenance) isActive() bool { return m.phase != waiting && m.phase != returned }
+
 // wave is a wave of the operators with its progress.
 type wave struct {
 	machine.Wave
@@ -182,26 +186,40 @@
 			s.evacuate(rs, now)
 		}
 	}
-	numbers := make([]int, 0, len(s.waves))
-	for n, w := range s.waves {
-		if !w.completed {
-			numbers = append(numbers, n)
-		}
-	}
-	slices.Sort(numbers)
-	for _, n := range numbers {
-		s.planWave(s.waves[n], now)
+	for _, w := range s.openWaves() {
+		s.planWave(w, now)
 	}
 	s.holdRunners(now)
 	s.holdWithheld(now)
 }
 
+// openWaves returns the waves that are not completed, those that are due first come
+// first.
+func (s *State) openWaves() []*wave {
+	var waves []*wave
+	for _, w := range s.waves {
+		if !w.completed {
+			waves = append(waves, w)
+		}
+	}
+	slices.SortFunc(waves, func(a, b *wave) int {
+		return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.Number, b.Number))
+	})
+	return waves
+}
+
 func (s *State) planWave(w *wave, now clock.BootTime) {
 	active, left := 0, 0
 	w.tasksLeft = nil
 	for _, m := range w.maintenances {
-		s.advanceMaintenance(m, now)
-		if m.phase != waiting && m.phase != returned {
+		switch x := s.maintained[m.id]; {
+		case x == nil || x == m:
+			s.advanceMaintenance(m, now)
+		case m.phase == draining:
+			m.phase = waiting
+		}
+		// MaxUnavailable holds for its machines, whichever wave has them.
+		if m.isActive() || s.maintained[m.id] != nil && s.maintained[m.id] != m {
 			active++
 		}
 		if m.phase != returned {
@@ -225,6 +243,7 @@
 			return
 		}
 		m.phase, m.since = draining, now
+		s.maintained[m.id] = m
 		if rs := s.runnerOf(m.id); rs != nil {
 			rs.cordoned = true
 			s.Logger.Log("msg", "machine drain started", "machine", m.id, "wave", w.Number, "runner", rs.ID, "service", rs.Service,
@@ -281,7 +300,7 @@
 	var best *maintenance
 	var bestCost [2]int
 	for _, m := range w.maintenances {
-		if m.phase != waiting || m.notBefore.After(now) || m.refusedUntil.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
+		if m.phase != waiting || s.maintained[m.id] != nil || s.awaitsOtherWave(m, now) || m.notBefore.After(now) || m.refusedUntil.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
 			continue
 		}
 		cost := [2]int{}
@@ -306,6 +325,14 @@
 	return best
 }
 
+// awaitsOtherWave reports whether a previous term may have begun the maintenance of a
+// machine for another wave, which may not have been read yet.
+func (s *State) awaitsOtherWave(m *maintenance, now clock.BootTime) bool {
+	in := s.intents[m.id]
+	return in.Term != 0 && in.Term != s.Term && now.Sub(s.startedAt) < s.Limits.MachineTakeover &&
+		in.PendingWave != 0 && in.PendingWave != m.wave.Number && in.PendingWave != in.AcceptedWave
+}
+
 // urgent reports whether a wave must take machines at any cost to complete in
 // time.
 func (s *State) urgent(w *wave, now clock.BootTime) bool {
