sched: take replies, not entries, for the runner of a machine

Cause: the runner of a machine was the newest entry that names it. Another writer's entry, of a service that is not configured and with a later start, took the place of the real runner; it has no runs, so that the machine counted as drained.

Change: entries of services that are not configured are ignored until a configuration names them. A runner that has replied goes before entries; a machine is empty only if no runner that names it, or is listed as its runner, may have runs. An entry cannot change the machine or the service of an incarnation unless the list of machines agrees. The fix works since an entry can no longer take anything from a runner that replies.

--- a/internal/lead/input.go
+++ b/internal/lead/input.go
@@ -259,6 +259,14 @@
 	}
 }
 
+// reviewEntries applies the entries of runners that were ignored and need not be any
+// longer.
+func (t *term) reviewEntries(ctx context.Context) {
+	for _, id := range t.state.ReviewEntries(clock.Now()) {
+		t.ensurePolled(ctx, id)
+	}
+}
+
 // watchRunners applies changes of the registered runners.
 func (t *term) watchRunners(ctx context.Context, rev kv.Revision) {
 	for ctx.Err() == nil {
--- a/internal/lead/list.go
+++ b/internal/lead/list.go
@@ -36,6 +36,7 @@
 			t.mu.Lock()
 			t.state.SetMachines(ms, now)
 			t.state.RunnersListed(ms, sent, now)
+			t.reviewEntries(ctx)
 			t.mu.Unlock()
 			t.notify()
 		}
--- a/internal/lead/plan.go
+++ b/internal/lead/plan.go
@@ -40,6 +40,7 @@
 		if c := t.cfg.CurrentConfig(); c != cfg && c != nil {
 			cfg = c
 			t.state.Configure(c)
+			t.reviewEntries(ctx)
 		}
 		t.state.Plan(clock.Now(), time.Now())
 		commands := t.state.Commands()
--- a/internal/sched/cordon.go
+++ b/internal/sched/cordon.go
@@ -13,7 +13,10 @@
 			continue
 		}
 		for _, m := range w.maintenances {
-			if rs := s.runnerOf(m.id); rs != nil && m.isActive() {
+			if !m.isActive() {
+				continue
+			}
+			for _, rs := range s.byMachine[m.id] {
 				rs.cordoned = true
 			}
 		}
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -116,10 +116,13 @@
 	return steps
 }
 
-// canTake reports whether the long-running tasks on the runner of a machine can leave,
-// as far as can be told before batch tasks have ended.
+// canTake reports whether the long-running tasks on the runner of a machine, or nil, can
+// leave, as far as can be told before batch tasks have ended.
 func (s *State) canTake(m *maintenance, rs *runnerState, now clock.BootTime) bool {
-	if rs.longRunning == 0 {
+	if s.otherOccupant(m.id, rs) != nil {
+		return false // it cannot be drained
+	}
+	if rs == nil || rs.longRunning == 0 {
 		return true
 	}
 	for _, st := range rs.longRunningSteps() {
--- a/internal/sched/evidence.go
+++ b/internal/sched/evidence.go
@@ -69,7 +69,6 @@
 		rs.Incarnation, rs.announced, rs.announcedAt = in, later, now
 	}
 	rs.confirmedAddr = from.Addr
-	s.indexMachine(rs)
 }
 
 // unknownKind returns what the entry of another incarnation says of a runner: a
--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -20,6 +20,7 @@
 	jobs     []job.ID
 	waves    []machine.Wave
 	progress map[job.ID]*job.Progress
+	odd      []runner.Info // entries of another writer, which come before and after those of the runners
 	// faults are the violations of the MaxUnavailable of steps and waves.
 	faults []string
 }
@@ -85,6 +86,7 @@
 
 // pass lets the runners work and report, and the leader plan.
 func (f *fleet) pass() {
+	f.writeOdd()
 	for _, m := range f.machines {
 		if m.downUntil.After(f.now) {
 			continue
@@ -107,6 +109,7 @@
 			Incarnation: m.incarnation, Clock: clock.RunnerTime(f.now / clock.BootTime(time.Millisecond)), Running: runs, Results: m.results,
 		})
 	}
+	f.writeOdd()
 	f.s.RosterStored(f.s.Roster(f.now, false))
 	f.s.ConfirmTerm(f.now)
 	commands := f.plan()
@@ -126,6 +129,12 @@
 	}
 }
 
+func (f *fleet) writeOdd() {
+	for _, i := range f.odd {
+		f.s.SetRunner(i, f.now)
+	}
+}
+
 func sortedKeys(runs map[job.Task]*fleetRun) []job.Task {
 	names := make(map[job.Task]int, len(runs))
 	for t := range runs {
@@ -144,10 +153,7 @@
 	for _, m := range f.machines {
 		switch {
 		case c.Kind == MaintainMachine && c.Machine == "m-"+machine.ID(m.id):
-			for _, t := range sortedKeys(m.runs) {
-				f.interrupt(m, t)
-			}
-			f.takeDown(c)
+			f.takeDown(m, c)
 			m.upkeeps[c.Wave]++
 			m.incarnation, m.downUntil, m.results, m.runs = m.incarnation+1, f.now.Add(fleetUpkeep), nil, make(map[job.Task]*fleetRun)
 			f.s.HandleMachineReply(c, machine.Accepted, true, f.now)
@@ -168,8 +174,12 @@
 	}
 }
 
-// takeDown checks that the MaxUnavailable of its wave allows to take a machine down.
-func (f *fleet) takeDown(c *Command) {
+// takeDown checks that a machine is empty and the MaxUnavailable of its wave allows to
+// take it down.
+func (f *fleet) takeDown(on *fleetMachine, c *Command) {
+	if len(on.runs) > 0 {
+		f.faults = append(f.faults, fmt.Sprintf("%s taken down for wave %d with %d runs", c.Machine, c.Wave, len(on.runs)))
+	}
 	w, n := f.s.waves[c.Wave].Wave, 0
 	for _, m := range f.machines {
 		if m.downUntil.After(f.now) && slices.Contains(w.Machines, "m-"+machine.ID(m.id)) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -74,23 +73,6 @@
 	return l
 }
 
-// addToPool adds a runner to the list of its pool.
-func (s *State) addToPool(rs *runnerState) {
-	l := s.byPool[rs.Service]
-	i, _ := slices.BinarySearchFunc(l, rs, compareRunners)
-	s.byPool[rs.Service] = slices.Insert(l, i, rs)
-	delete(s.usableByPool, rs.Service)
-}
-
-// removeFromPool removes a runner from the list of its pool.
-func (s *State) removeFromPool(rs *runnerState) {
-	l := s.byPool[rs.Service]
-	if i, found := slices.BinarySearchFunc(l, rs, compareRunners); found {
-		s.byPool[rs.Service] = slices.Delete(l, i, i+1)
-	}
-	delete(s.usableByPool, rs.Service)
-}
-
 func compareRunners(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) }
 
 // fullPlanInterval is the time between two full planning passes, which cover
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -226,7 +226,8 @@
 		return
 	}
 	rs := s.runnerOf(ms.ID)
-	if from := s.movingRunner(ms); from != nil && (len(from.runs) > 0 || from.hasUnacked()) {
+	from := s.movingRunner(ms)
+	if from != nil && (len(from.runs) > 0 || from.hasUnacked()) || !ms.sent && from != nil && s.otherOccupant(ms.ID, from) != nil {
 		return
 	}
 	switch {
@@ -234,7 +235,7 @@
 		// A powered-off machine has no runner that would show its arrival.
 		if s.isStandby(ms.movingTo) && now.Sub(ms.since) > s.Limits.MoveTime+noRunnerTimeout {
 			ms.movingTo, ms.sent, ms.since = "", false, now
-		} else if rs != nil && rs.Service == ms.movingTo && rs.Incarnation > ms.fromIncarnation {
+		} else if rs != nil && rs.replied && rs.Service == ms.movingTo && rs.Incarnation > ms.fromIncarnation {
 			s.Logger.Log("msg", "machine moved", "machine", ms.ID, "pool", ms.movingTo, "runner", rs.ID, "took", now.Sub(ms.since))
 			ms.movingTo, ms.sent, ms.since = "", false, now
 		} else if now.Sub(ms.since) > moveTimeout {
--- a/internal/sched/registration.go
+++ b/internal/sched/registration.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
+	"maps"
+
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
-	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -11,11 +12,15 @@
 // replied has ended: the entry of a later one is kept until that one replies.
 func (s *State) SetRunner(i runner.Info, now clock.BootTime) {
 	rs := s.runners[i.ID]
+	if s.ignoresEntry(rs, i) {
+		return
+	}
 	switch {
 	case rs == nil:
 		rs = newRunnerState(i)
+		rs.described = i.Incarnation
 		s.runners[i.ID] = rs
-		s.addToPool(rs)
+		s.index(rs)
 		s.Logger.Log("msg", "runner registered", "runner", i.ID, "service", i.Service, "machine", i.Machine, "draining", i.Draining)
 	case rs.ended && i.Incarnation > rs.Incarnation:
 		s.renew(rs, i)
@@ -37,42 +42,35 @@
 		s.setInfo(rs, i)
 	}
 	rs.registered = true
-	s.indexMachine(rs)
 }
 
 // setInfo replaces what is known of a runner from its entry.
 func (s *State) setInfo(rs *runnerState, i runner.Info) {
-	if i.Service == rs.Service {
+	rs.described = i.Incarnation
+	if i.Service == rs.Service && i.Machine == rs.Machine {
 		rs.Info = i
 		return
 	}
-	s.removeFromPool(rs)
+	s.unindex(rs)
 	rs.Info = i
-	s.addToPool(rs)
+	s.index(rs)
 }
 
 // renew replaces the state of an ended incarnation by that of another one, which
 // has not replied.
 func (s *State) renew(rs *runnerState, i runner.Info) {
-	s.removeFromPool(rs)
+	s.unindex(rs)
 	registered, at := rs.registered, rs.deregisteredAt
 	*rs = *newRunnerState(i)
-	rs.registered, rs.deregisteredAt, rs.followsAnother = registered, at, true
-	s.addToPool(rs)
-}
-
-// indexMachine records a runner as the one of its machine if no later one is.
-func (s *State) indexMachine(rs *runnerState) {
-	id := machine.ID(rs.Machine)
-	if old := s.byMachine[id]; old == nil || old.Incarnation <= rs.Incarnation {
-		s.byMachine[id] = rs
-	}
+	rs.registered, rs.deregisteredAt, rs.followsAnother, rs.described = registered, at, true, i.Incarnation
+	s.index(rs)
 }
 
 // DeregisterRunner records that the store no longer has an entry for a runner.
 // The runner is given no new runs; its present runs continue while it is
 // reachable.
 func (s *State) DeregisterRunner(id runner.ID, now clock.BootTime) {
+	delete(s.ignored, id)
 	rs := s.runners[id]
 	if rs == nil || !rs.registered {
 		return
@@ -87,6 +85,7 @@
 
 // DeregisterRunners deregisters the runners for which gone returns true.
 func (s *State) DeregisterRunners(gone func(runner.ID) bool, now clock.BootTime) {
+	maps.DeleteFunc(s.ignored, func(id runner.ID, _ runner.Info) bool { return gone(id) })
 	for id, rs := range s.runners {
 		if rs.registered && gone(id) {
 			s.DeregisterRunner(id, now)
@@ -105,5 +104,5 @@
 	}
 	s.suspectAbandoned(rs)
 	delete(s.runners, rs.ID)
-	s.removeFromPool(rs)
+	s.unindex(rs)
 }
--- a/internal/sched/roster.go
+++ b/internal/sched/roster.go
@@ -116,8 +116,11 @@
 		rs := s.runners[e.ID]
 		if rs == nil {
 			rs = newRunnerState(runner.Info{ID: e.ID, Addr: e.Addr, Incarnation: e.Incarnation, Machine: e.Machine})
+			if e.Machine != "" {
+				rs.described = e.Incarnation
+			}
 			s.runners[e.ID] = rs
-			s.addToPool(rs)
+			s.index(rs)
 		}
 		if rs.Incarnation == e.Incarnation && e.Incarnation != 0 {
 			rs.confirmedAddr = e.Addr
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -26,9 +26,12 @@
 	confirmedAddr netip.AddrPort
 	// announced is the entry of a later incarnation that has not replied; nil if
 	// there is none.
-	announced      *runner.Info
-	announcedAt    clock.BootTime // when the entry was read
-	tryAnnounced   bool           // the next poll goes to the announced address
+	announced    *runner.Info
+	announcedAt  clock.BootTime // when the entry was read
+	tryAnnounced bool           // the next poll goes to the announced address
+	// described is the incarnation that Machine is known of, and Service if it is set;
+	// zero: none.
+	described      runner.Incarnation
 	registered     bool           // the store has an entry for it
 	deregisteredAt clock.BootTime // when its entry was removed
 	ended          bool           // this incarnation has ended
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -45,10 +45,11 @@
 	jobs         map[job.ID]*jobState
 	open         map[string][]*jobState // by service, in order of acceptance
 	runners      map[runner.ID]*runnerState
-	byMachine    map[machine.ID]*runnerState // newest runner
-	byPool       map[string][]*runnerState   // all runners, ordered by ID
-	usableByPool map[string][]*runnerState   // see usableRunners
-	lastFullPlan clock.BootTime              // time of the last full planning pass
+	byMachine    map[machine.ID][]*runnerState // all runners that name it
+	ignored      map[runner.ID]runner.Info     // entries that are not applied
+	byPool       map[string][]*runnerState     // all runners, ordered by ID
+	usableByPool map[string][]*runnerState     // see usableRunners
+	lastFullPlan clock.BootTime                // time of the last full planning pass
 	// inherited holds the roster entries of previous terms whose runners have
 	// not replied in this term.
 	inherited map[runner.ID]*inherited
@@ -108,7 +109,8 @@
 		jobs:           make(map[job.ID]*jobState),
 		open:           make(map[string][]*jobState),
 		runners:        make(map[runner.ID]*runnerState),
-		byMachine:      make(map[machine.ID]*runnerState),
+		byMachine:      make(map[machine.ID][]*runnerState),
+		ignored:        make(map[runner.ID]runner.Info),
 		byPool:         make(map[string][]*runnerState),
 		usableByPool:   make(map[string][]*runnerState),
 		inherited:      make(map[runner.ID]*inherited),
--- a/internal/sched/usability.go
+++ b/internal/sched/usability.go
@@ -20,11 +20,12 @@
 	resultWithheld             // it has a result that must not be acknowledged
 	notInRoster                // the stored roster has no open entry for it
 	startRejected              // it has just rejected a start
+	entryContradicts           // its entry has another service or machine, and no list of machines shows that it is wrong
 	usabilities                // number of usabilities
 )
 
 func (u usability) String() string {
-	return [...]string{"usable", "ended", "deregistered", "not_replied", "unreachable", "draining", "cordoned", "announced", "withheld", "not_in_roster", "blocked"}[u]
+	return [...]string{"usable", "ended", "deregistered", "not_replied", "unreachable", "draining", "cordoned", "announced", "withheld", "not_in_roster", "blocked", "contradicted"}[u]
 }
 
 // usability returns whether new runs may be started on a runner.
@@ -50,6 +51,8 @@
 		return notInRoster
 	case rs.blockedUntil.After(now):
 		return startRejected
+	case len(s.ignored) > 0 && s.isContradicted(rs):
+		return entryContradicts
 	}
 	return isUsable
 }
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -163,16 +163,6 @@
 	}
 }
 
-// runnerOf returns the newest runner of a machine, or nil.
-func (s *State) runnerOf(id machine.ID) *runnerState {
-	rs := s.byMachine[id]
-	if rs != nil && (s.runners[rs.ID] != rs || rs.Machine != string(id)) {
-		delete(s.byMachine, id)
-		return nil
-	}
-	return rs
-}
-
 // planWaves drains the machines of the waves and sends their maintenance
 // commands.
 func (s *State) planWaves(now clock.BootTime) {
@@ -277,7 +267,7 @@
 		if m == nil {
 			return nil
 		}
-		if rs := s.runnerOf(m.id); rs == nil || s.canTake(m, rs, now) {
+		if s.canTake(m, s.runnerOf(m.id), now) {
 			return m
 		}
 		m.refusedUntil = now.Add(refusalTime)
@@ -289,7 +279,7 @@
 func (s *State) cheapestMaintenance(w *wave, now clock.BootTime) *maintenance {
 	taken, all := make(map[string]int), make(map[string]int)
 	for _, rs := range s.runners {
-		if s.hasLeft(rs) {
+		if s.hasLeft(rs) || s.evidenceOfPresence(rs) == 0 {
 			continue
 		}
 		all[rs.Service]++
@@ -352,6 +342,10 @@
 	switch m.phase {
 	case waiting, returned:
 	case draining:
+		if other := s.otherOccupant(m.id, rs); other != nil {
+			s.evacuate(other, now) // it is cordoned as well
+			return
+		}
 		if rs != nil {
 			s.evacuate(rs, now)
 			if len(rs.runs) > 0 {
