sched: take no machine down whose runner is silent in a new term

What callers would see: a task that goes on on a runner which the new leader does not reach is ended at once by the upkeep of its machine, beside any others of its step that are away (AVAIL).

Cause: a runner that has not replied to a new leader has no runs on record, so that a wave took its machine for empty, and before all others.

Change: a machine is not taken while a runner of a previous term that names it has not replied, until its roster entry ends. It works since that entry covers all runs that a previous leader may have started there.

Test: TestSilentRunnerOfNewTerm failed on the code before ("m-r0 taken down for wave 1 with 2 runs").

--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -119,8 +119,8 @@
 // canTake reports whether the long-running tasks on the runner of a machine, or nil, can
 // leave, as far as can be told before batch tasks have ended.
 func (s *State) canTake(m *maintenance, rs *runnerState, now clock.BootTime) bool {
-	if s.otherOccupant(m.id, rs) != nil {
-		return false // it cannot be drained
+	if s.otherOccupant(m.id, rs) != nil || rs != nil && s.isInherited(rs) {
+		return false // a runner of the machine is silent, so that it cannot be drained
 	}
 	if rs == nil || rs.longRunning == 0 {
 		return true
--- a/internal/sched/occupant_test.go
+++ b/internal/sched/occupant_test.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// TestSilentRunnerOfNewTerm guards against a new leader that takes a machine down whose
+// runner has not replied to it, though what runs there is not known.
+func TestSilentRunnerOfNewTerm(t *testing.T) {
+	f := newFleet(t, 3)
+	f.submit(job.Step{Count: 1, LongRunning: true, MaxUnavailable: 1})
+	f.run(2 * time.Second)
+	f.changeLeader()
+	for _, m := range f.machines {
+		if len(m.runs) > 0 {
+			f.s.PollFailed(m.id, f.now)
+			m.downUntil = f.now + 2*second // it is cut off, and its task goes on
+		}
+	}
+	f.wave(1, 3, time.Second, f.machines...)
+	f.run(20 * time.Second)
+	for _, x := range f.faults {
+		t.Error(x)
+	}
+	if n := f.upkeeps(1); n != 3 {
+		t.Errorf("%d machines had their maintenance, want 3", n)
+	}
+}
