sched: take no machine of another wave that is at its cap

What operators would see: more machines of a wave down at once than its cap allows (LIMIT), after a change of the leader beside a second wave.

Cause: a maintenance that a previous term may have begun waits for the takeover time and is then repeated, whatever is down by then. Until then another wave could take a second machine of the same wave.

Change: a wave takes a machine only if each wave that lists it is below its cap. The repeated command then finds no other machine of its wave down.

--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -199,7 +199,7 @@
 }
 
 func (s *State) planWave(w *wave, now clock.BootTime) {
-	active, left := 0, 0
+	left := 0
 	w.tasksLeft = nil
 	for _, m := range w.maintenances {
 		switch x := s.maintained[m.id]; {
@@ -208,10 +208,6 @@
 		case m.phase == draining:
 			m.phase = waiting
 		}
-		// MaxUnavailable holds for its machines, whichever wave has them.
-		if m.isActive() || s.maintained[m.id] != nil && s.maintained[m.id] != m {
-			active++
-		}
 		if m.phase != returned {
 			left++
 		}
@@ -226,7 +222,7 @@
 	if s.shortage {
 		maxUnavailable = s.neededAtOnce(w, now)
 	}
-	for ; active < maxUnavailable; active++ {
+	for active := s.active(w); active < maxUnavailable; active++ {
 		m := s.nextMaintenance(w, now)
 		if m == nil {
 			s.wantRoom(w, now)
@@ -242,6 +238,35 @@
 	}
 }
 
+// active returns how many machines of a wave are leaving or down for it or another one.
+func (s *State) active(w *wave) int {
+	n := 0
+	for _, m := range w.maintenances {
+		if m.isActive() || s.maintained[m.id] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// capped returns the machines that other waves do not allow to take, since as many of
+// their machines are leaving or down as may be.
+func (s *State) capped(w *wave) map[machine.ID]bool {
+	var ids map[machine.ID]bool
+	for _, x := range s.waves {
+		if x == w || x.completed || s.active(x) < x.MaxUnavailable {
+			continue
+		}
+		if ids == nil {
+			ids = make(map[machine.ID]bool)
+		}
+		for _, m := range x.maintenances {
+			ids[m.id] = true
+		}
+	}
+	return ids
+}
+
 // neededAtOnce returns how many machines must be down at once for a wave to
 // complete in time, with a reserve. It limits a wave while pools lack machines.
 func (s *State) neededAtOnce(w *wave, now clock.BootTime) int {
@@ -287,10 +312,11 @@
 			taken[rs.Service]++
 		}
 	}
+	capped := s.capped(w)
 	var best *maintenance
 	var bestCost [2]int
 	for _, m := range w.maintenances {
-		if m.phase != waiting || s.maintained[m.id] != nil || s.awaitsOtherWave(m, now) || m.notBefore.After(now) || m.refusedUntil.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
+		if m.phase != waiting || s.maintained[m.id] != nil || capped[m.id] || s.awaitsOtherWave(m, now) || m.notBefore.After(now) || m.refusedUntil.After(now) || (s.machineStates[m.id] != nil && s.machineStates[m.id].movingTo != "") {
 			continue
 		}
 		cost := [2]int{}
