sched: give back a machine if one of its tasks cannot leave

Cause: a drain was given up only if none of the long-running tasks could leave. Displacement stops all tasks of a machine at once, so that one that may not be away holds up another that may, and the drain did not end.

Change: a drain is given up if any long-running task cannot leave for drainTimeout and none is about to end.

--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -133,15 +133,7 @@
 			return false
 		}
 	}
-	if !m.givenBack {
-		return true
-	}
-	for _, r := range rs.runs {
-		if r.task.step.spec.LongRunning && !s.mayInterrupt(r.task) {
-			return false
-		}
-	}
-	return true
+	return !m.givenBack || !s.isBlocked(m.wave, rs, now)
 }
 
 // displace stops the long-running tasks on a runner, which is otherwise empty, if its
@@ -164,26 +156,26 @@
 	}
 }
 
-// isBlocked reports whether no long-running task on a runner can leave at present,
-// though there are some.
+// isBlocked reports whether a long-running task on a runner cannot leave at present, so
+// that the runner does not become empty, and none is about to end.
 func (s *State) isBlocked(w *wave, rs *runnerState, now clock.BootTime) bool {
 	blocked := false
 	for _, r := range rs.runs {
-		switch st := r.task.step; {
-		case r.phase == stopping:
-			return false
-		case !st.spec.LongRunning:
-		case s.mayInterrupt(r.task) && (s.hasRoomElsewhere(rs, st, now) || s.mustDisplace(w, rs, st, now) && s.canBeAway(rs, st, false)):
+		st := r.task.step
+		if !st.spec.LongRunning {
+			continue
+		}
+		if r.phase == stopping {
 			return false
-		default:
-			blocked = true
 		}
+		displaced := s.mustDisplace(w, rs, st, now) && s.canBeAway(rs, st, false)
+		blocked = blocked || !s.mayInterrupt(r.task) || !s.hasRoomElsewhere(rs, st, now) && !displaced
 	}
 	return blocked
 }
 
 // giveBack ends the drain of a machine that has been blocked for drainTimeout: its
-// runner is used again until its tasks can leave.
+// runner is used again until all of its tasks can leave.
 func (s *State) giveBack(m *maintenance, rs *runnerState, now clock.BootTime) {
 	if !s.isBlocked(m.wave, rs, now) {
 		m.blockedAt = 0
--- a/internal/sched/weakened_test.go
+++ b/internal/sched/weakened_test.go
@@ -24,6 +24,9 @@
 	for _, weaken := range []string{"listed", "pages"} {
 		models[weaken] = checkLists(weaken)
 	}
+	for _, weaken := range []string{"blocked", "silent"} {
+		models["waves without "+weaken] = func(r *rapid.T) { checkWaves(r, t, weaken) }
+	}
 	models["starts"] = checkReborn("starts")
 	modeltest.MustFail(t, models)
 }
