sched: decide on a lost start once the pool is stable again

Cause: the last start was lost with its runner in a burst of crashes, before the runner confirmed it, and counted at once. That the runner was one of many is known only later.

Change: the decision waits for the next start, for which the pool must be stable. A start that was lost while the pool lost many runners does not count, three times for a task at most.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -76,7 +76,8 @@
 	reservedVersion uint64
 	crashes         crash.Record
 	counted         []countedStart // in crashes.Unresolved
-	proven          bool           // a run of this term went on for crash.ProvenAfter
+	lostStarts      lostStarts
+	proven          bool // a run of this term went on for crash.ProvenAfter
 }
 
 // live reports whether a run may exist.
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -38,6 +38,7 @@
 	counted := !t.crashes.Suspect || t.isCounted(attempt, rs)
 	if t.reserved != attempt || !counted {
 		if t.crashes.Suspect {
+			s.excuseLostStart(t, now)
 			if t.reserved != attempt && t.crashes.Exhausted() && !t.step.spec.LongRunning && s.giveUp(t, nil, now) {
 				return false
 			}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -64,7 +64,10 @@
 		if v.Suspect {
 			suspects[t.name.Job] = true
 		}
-		if v.GiveUp && (!v.Uncertain || !s.mayResolve(t)) {
+		switch {
+		case !v.GiveUp:
+		case v.Uncertain && runs[i].ConfirmedAt == 0 && t.lostStarts.postpone(t, rs.lastReply):
+		case !v.Uncertain || !s.mayResolve(t):
 			given = append(given, t)
 		}
 	}
