sched: drop a reserved attempt when an earlier run is reported as done

What operators would see: a runner gets no batch tasks for the rest of its life ("result withheld, task was started again"), although the task was not.

Cause: a run on a silent runner counts as ended by its lease. The attempt of the next start is reserved in the store before that start is sent, and a result is withheld if a higher attempt than its own is on record. A reserved attempt that was never sent counted as well.

Change: a result as done drops the reservation if no attempt after that run was started. The record is then that of a task for which no attempt had been reserved. A leader that reads a reservation of a previous term cannot tell that it was not sent, and withholds as before.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -265,7 +265,7 @@
 			r.phase, r.stopConfirmed = stopping, now
 			if t := r.task; t.step.spec.LongRunning {
 				// A former leader may have used many higher attempts without a record.
-				t.attempt = max(t.attempt, r.attempt+supersededAttemptGap)
+				t.sawAttempt(r.attempt + supersededAttemptGap)
 			}
 		}
 		return
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -74,6 +74,7 @@
 	// of a suspect.
 	reserved        int
 	reservedVersion uint64
+	reservedFrom    int // highest attempt apart from the reserved one
 	crashes         crash.Record
 	counted         []countedStart // in crashes.Unresolved
 	lostStarts      lostStarts
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -202,7 +202,7 @@
 		r.throttle = min(max(reported.Percent, 0), 100)
 	}
 	rs.add(r)
-	t.attempt = max(t.attempt, reported.Attempt)
+	t.sawAttempt(reported.Attempt)
 	js.started = true
 	s.Logger.Log("msg", "run adopted", "task", reported.Task, "attempt", reported.Attempt, "runner", rs.ID)
 	switch {
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -44,6 +44,9 @@
 			}
 			t.countStart(attempt, rs)
 		}
+		if t.reserved == 0 {
+			t.reservedFrom = t.attempt
+		}
 		t.reserved, t.attempt = attempt, max(t.attempt, attempt)
 		s.markChanged(t.job)
 		t.reservedVersion = t.job.version
@@ -53,6 +56,20 @@
 	return t.job.storedVersion >= t.reservedVersion
 }
 
+// sawAttempt records an attempt that was started.
+func (t *task) sawAttempt(attempt int) {
+	t.attempt, t.reservedFrom = max(t.attempt, attempt), max(t.reservedFrom, attempt)
+}
+
+// dropReservation gives up the reserved attempt of a task of which a run has ended as
+// done, unless a later attempt than that run may have been started. The reserved one was
+// not, and later terms must not take it for one whose start withholds the result.
+func (t *task) dropReservation(done int) {
+	if t.reserved != 0 && t.attempt == t.reserved && t.reservedFrom <= done {
+		t.attempt, t.reserved = t.reservedFrom, 0
+	}
+}
+
 // nextAttempt returns the attempt number of the next run. For a task from a
 // previous term it skips numbers, because runs may have left no record.
 func (s *State) nextAttempt(t *task) int {
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -88,9 +88,10 @@
 	}
 	if res.Cause == runner.Done {
 		if !t.step.spec.Speculative && !t.step.spec.LongRunning {
+			t.dropReservation(res.Attempt)
 			s.withhold(rs, res, t.attempt)
 		}
-		t.attempt = max(t.attempt, res.Attempt)
+		t.sawAttempt(res.Attempt)
 	}
 	if !js.open() {
 		return js
@@ -105,13 +106,13 @@
 		rs.health.recordSuccess()
 		s.recordDone(t, now)
 	case runner.Failed:
-		t.attempt = max(t.attempt, res.Attempt)
+		t.sawAttempt(res.Attempt)
 		if rs.health.recordFailure(js.def.ID, now) {
 			s.Logger.Log("msg", "runner quarantined", "runner", rs.ID, "jobs", len(rs.health.failing), "pause", rs.health.quarantine)
 		}
 		s.recordFailure(t, rs.ID, res.Attempt, now)
 	case runner.Stopped, runner.LeaseExpired, runner.GangBroken, runner.GangIncomplete:
-		t.attempt = max(t.attempt, res.Attempt)
+		t.sawAttempt(res.Attempt)
 		s.markChanged(js)
 	}
 	return js
