sched: give a machine back while its command is rejected

Cause: a machine stayed taken once its command had been sent, also if the reply said that it was not carried out.

Change: a rejected or fenced command, as a busy machine already, gives the machine back until the command is sent again, unless an earlier command without a reply may have been carried out.

Test: TestRejectedCommandKeepsCordon failed before.

--- a/internal/sched/intent.go
+++ b/internal/sched/intent.go
@@ -105,6 +105,7 @@
 		s.handleBusy(m, now)
 	case machine.Rejected, machine.Fenced:
 		m.notBefore, m.busyUntil = now.Add(machineRetryDelay), 0
+		m.release(now)
 	}
 }
 
@@ -125,7 +126,15 @@
 	case ms == nil && now.After(max(m.busyUntil, m.wave.due.Add(returnTimeout))):
 		m.phase = returned
 		s.Logger.Log("msg", "machine without maintenance: it stays busy", "machine", m.id, "wave", m.wave.Number)
-	case !m.unanswered:
+	default:
+		m.release(now)
+	}
+}
+
+// release gives a machine back whose command was not carried out, unless an earlier one
+// without a reply may have been.
+func (m *maintenance) release(now clock.BootTime) {
+	if !m.unanswered {
 		m.phase, m.since = waiting, now
 	}
 }
--- a/internal/sched/maintenance_test.go
+++ b/internal/sched/maintenance_test.go
@@ -80,6 +80,23 @@
 	}
 }
 
+// TestRejectedCommandKeepsCordon guards against a runner that is given no tasks for as long
+// as the commands to its machine are rejected.
+func TestRejectedCommandKeepsCordon(t *testing.T) {
+	for v, want := range map[machine.Verdict]int{machine.Rejected: 1, machine.Fenced: 1, machine.Busy: 1, machine.Accepted: 0} {
+		f := newFixture(t, 1)
+		f.runner("a")
+		f.s.SetWave(machine.Wave{Number: 1, Machines: []machine.ID{"m-a"}, MaxUnavailable: 1, Within: time.Minute}, false, f.now, time.Unix(0, 0))
+		for _, c := range f.maintenances() {
+			f.s.HandleMachineReply(&c, v, v != machine.Accepted, f.now) // accepted without a reply
+		}
+		f.job(1, job1)
+		if got := len(ofKind(f.plan(), StartRun)); got != want {
+			t.Errorf("%v: %d tasks started, want %d", v, got, want)
+		}
+	}
+}
+
 // TestDownMachineLeftOut guards against an overdue wave that is completed without a
 // machine which is down for a while, and against one that waits for it with its other
 // machines. Seen as review/10 of commit 60a2672 (MIXED).
