sched: take a machine again only if all its tasks have room together

What callers would see: in a nearly full pool a long-running task is stopped and started again every four seconds, for as long as a wave is open.

Cause: a machine was taken if each of its tasks has room. One moved, the others did not fit any more, and the machine was given back; the next machine was the one with the room, and the task moved back.

Change: a machine that was given back is taken again only if the tasks that have no run and all of its own fit together, but for those that can be displaced.

--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -1,10 +1,12 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 )
 
@@ -133,7 +135,65 @@
 			return false
 		}
 	}
-	return !m.givenBack || !s.isBlocked(m.wave, rs, now)
+	return !m.givenBack || !s.isBlocked(m.wave, rs, now) && s.canAllLeave(m, rs, now)
+}
+
+// canAllLeave reports whether there is room for all long-running tasks on a runner together,
+// beside those that have no run, but for those that can be displaced. A machine that was
+// given back would otherwise be taken again and again for the tasks that fit one by one,
+// and move some of them each time.
+func (s *State) canAllLeave(m *maintenance, rs *runnerState, now clock.BootTime) bool {
+	rooms := s.roomsBeside(rs, now)
+	for _, js := range s.open[rs.Service] {
+		for _, o := range js.occs {
+			for _, st := range o.steps {
+				for i := 0; st.spec.LongRunning && i < st.idle && s.placeIn(rooms, st, now); i++ {
+				}
+			}
+		}
+	}
+	runs := runsOf(rs)
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(b.demand.CPU, a.demand.CPU) })
+	for _, r := range runs {
+		st := r.task.step
+		if st.spec.LongRunning && !s.placeIn(rooms, st, now) && (!s.mustDisplace(m.wave, rs, st, now) || !s.canBeAway(rs, st, true)) {
+			return false
+		}
+	}
+	return true
+}
+
+// room is what long-running tasks may use of a runner.
+type room struct {
+	*runnerState
+	left   job.Resources
+	placed map[*step]int
+}
+
+// roomsBeside returns the room on the usable runners of a pool apart from one, once their
+// batch tasks have ended.
+func (s *State) roomsBeside(rs *runnerState, now clock.BootTime) []*room {
+	var rooms []*room
+	for _, x := range s.byPool[rs.Service] {
+		if x != rs && s.usable(x, now) {
+			rooms = append(rooms, &room{runnerState: x, left: x.freeOfBatch(), placed: make(map[*step]int)})
+		}
+	}
+	return rooms
+}
+
+// placeIn uses room for a task of a step, and reports whether there is any.
+func (s *State) placeIn(rooms []*room, st *step, now clock.BootTime) bool {
+	i := slices.IndexFunc(rooms, func(r *room) bool {
+		return st.spec.Demand().Fits(r.left) && s.suits(r.runnerState, st, now) &&
+			(st.spec.PerRunner == 0 || runsOfStep(r.runnerState, st.tasks[0])+r.placed[st] < st.spec.PerRunner)
+	})
+	if i < 0 {
+		return false
+	}
+	rooms[i].left = rooms[i].left.Sub(st.spec.Demand())
+	rooms[i].placed[st]++
+	return true
 }
 
 // displace stops the long-running tasks on a runner, which is otherwise empty, if its
--- a/internal/sched/displace_test.go
+++ b/internal/sched/displace_test.go
@@ -76,3 +76,23 @@
 		t.Errorf("%d machines had their maintenance once there was room again, want 1", n)
 	}
 }
+
+// TestTasksMovedToAndFro guards against a wave that takes two machines in turn, again and
+// again, for tasks that fit on the other one singly but not together: one task of a
+// machine moves each time, and the machine is given back for the others.
+func TestTasksMovedToAndFro(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, cpu := range []int{3900, 2500, 1300, 1300} {
+		f.submit(job.Step{LongRunning: true, Resources: job.Resources{CPU: cpu, Mem: 10}})
+		f.run(time.Second)
+	}
+	f.wave(1, 2, 2*time.Minute, f.machines[1], f.machines[2])
+	stops := 0
+	for end := f.now + 60*second; f.now < end; {
+		f.pass()
+		stops += len(ofKind(f.commands, StopRun))
+	}
+	if stops > len(f.machines) {
+		t.Errorf("long-running tasks are moved %d times in a minute, and no machine has its maintenance", stops)
+	}
+}
