--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -45,6 +45,15 @@
 // A long-running task that two runners may have crashed under waits for that, and
 // its job is not ended for crashes in a pool that was not stable.
 //
+// # Waves
+//
+// A machine that is due for maintenance drains until its runner is empty, and then gets
+// its command. Each state of it has an end: a drain in which a task cannot leave and a
+// command that is rejected give the machine back, and only one wave at a time has it. A
+// reply, not an entry, tells which runner it has; see runnerOf. If no other runner has
+// room for a long-running task, the task is displaced within its MaxUnavailable; see
+// displace.
+//
 // # Room for long-running tasks
 //
 // A long-running task is stopped on a runner that leaves once another one has room,
--- a/internal/sched/wave.go
+++ b/internal/sched/wave.go
@@ -36,7 +36,7 @@
 	busyUntil   clock.BootTime // if it is still busy then, the wave may continue without it; zero: it is not busy
 	// refusedUntil is until when it is not examined again, since its tasks cannot leave.
 	refusedUntil clock.BootTime
-	blockedAt    clock.BootTime // since when it drains and no task on it can leave; zero: some can
+	blockedAt    clock.BootTime // since when it drains and a task on it cannot leave; zero: all can
 	givenBack    bool           // a drain was given up
 }
 
