--- a/internal/job/config.go
+++ b/internal/job/config.go
@@ -25,6 +25,7 @@
 	Target      time.Duration // as in Terms
 	Timeout     time.Duration
 	Policy      *Policy
+	Public      bool // callers need no key of a workspace
 }
 
 // Service is a pool of runners.
@@ -48,17 +49,23 @@
 	Version  int64
 	Queues   map[string]*Queue
 	Services map[string]*Service
-	Limits   Limits
-	byHost   map[string][]*Queue
+	// Workspaces is empty if the deployment has none; no request needs a key then.
+	Workspaces map[string]*Workspace
+	Limits     Limits
+	byHost     map[string][]*Queue
+	byKey      map[string]*Workspace
 }
 
-// NewConfig returns a configuration, with the queues indexed by host.
-func NewConfig(version int64, queues []*Queue, services []*Service, l Limits) *Config {
+// NewConfig returns a configuration, with the queues indexed by host and the workspaces
+// by key.
+func NewConfig(version int64, queues []*Queue, services []*Service, l Limits, workspaces ...*Workspace) *Config {
 	c := &Config{
 		Version: version, Limits: l,
-		Queues:   make(map[string]*Queue, len(queues)),
-		Services: make(map[string]*Service, len(services)),
-		byHost:   make(map[string][]*Queue),
+		Queues:     make(map[string]*Queue, len(queues)),
+		Services:   make(map[string]*Service, len(services)),
+		Workspaces: make(map[string]*Workspace, len(workspaces)),
+		byHost:     make(map[string][]*Queue),
+		byKey:      make(map[string]*Workspace),
 	}
 	for _, q := range queues {
 		c.Queues[q.Name] = q
@@ -68,6 +75,12 @@
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
+	for _, w := range workspaces {
+		c.Workspaces[w.Name] = w
+		for _, k := range w.Keys {
+			c.byKey[k] = w
+		}
+	}
 	return c
 }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -94,6 +94,10 @@
 	// Terms are those of the queue when the job was accepted; nil: an earlier version
 	// stored the job.
 	Terms *Terms `cbor:"10,keyasint,omitempty"`
+	// Workspace is the name of the workspace that submitted it; empty: none, or an
+	// earlier version stored the job. Limits are those of the workspace at that time.
+	Workspace string           `cbor:"11,keyasint,omitempty"`
+	Limits    *WorkspaceLimits `cbor:"12,keyasint,omitempty"`
 }
 
 const (
--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -16,6 +16,8 @@
 	// A job must have a valid ID, and its steps may depend only on earlier ones.
 	j.ID, j.Steps = id, append(j.Steps, recorded.New[Step]())
 	j.Steps[0].DependsOn, j.Steps[1].DependsOn = nil, []int{0}
+	recorded.RoundTripOf(f, "job-with-workspace", j, EncodeJob, DecodeJob)
+	j.Workspace, j.Limits = "", nil // a queue without workspaces, or an earlier version
 	recorded.RoundTripOf(f, "job-with-terms", j, EncodeJob, DecodeJob)
 	j.Terms = nil // an earlier version stores none
 	recorded.RoundTripOf(f, "job", j, EncodeJob, DecodeJob)
