sched: keep the limits of a job's workspace

Cause: caps and shares both need the weight and the cap of the workspace of a job. Change: jobState.limits, from the last configuration that had the workspace, or from the job record if this term has seen none. Result: unit tests of internal/sched pass.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -131,11 +131,14 @@
 	terms *job.Terms
 	// termsStored is set if the stored progress has terms.
 	termsStored bool
-	created     kv.Revision
-	acceptedAt  clock.BootTime // acceptance time
-	outcome     job.Outcome
-	cancelled   bool
-	started     bool // a task was scheduled
+	// limits are those of the last configuration that had the workspace of the job, or
+	// those stored with the job; nil: it has no workspace.
+	limits     *job.WorkspaceLimits
+	created    kv.Revision
+	acceptedAt clock.BootTime // acceptance time
+	outcome    job.Outcome
+	cancelled  bool
+	started    bool // a task was scheduled
 	// begun is set once a runner has confirmed a run. Callers count a job as
 	// waiting until then: a start may be lost with its runner.
 	begun    bool
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -203,7 +203,7 @@
 		s.RemoveExpired([]ExpiredJob{{ID: j.ID, Created: old.created}})
 	}
 	age := min(max(wall.Sub(j.Accepted), 0), maxJobAge)
-	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now.Add(-age), terms: j.Terms}
+	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now.Add(-age), terms: j.Terms, limits: j.Limits}
 	if p != nil {
 		js.outcome, js.started = p.Outcome, p.Started
 		if p.Terms != nil {
--- a/internal/sched/terms.go
+++ b/internal/sched/terms.go
@@ -12,6 +12,10 @@
 		t := js.queue.Terms()
 		js.terms = &t
 	}
+	if w := c.Workspaces[js.def.Workspace]; w != nil {
+		l := w.Limits()
+		js.limits = &l
+	}
 }
 
 // progressTerms returns the terms that the progress must hold for later terms of
