workspace, platform, entry: check the key of a caller's workspace

Cause: nothing checks the header Credential, and a daemon without a current configuration would go on accepting a revoked key. Leaders reply with the workspace (CBOR key 7).

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -37,9 +37,25 @@
 	return e.ConfigWatcher.RespondedSince(time.Now().Add(-storeTimeout))
 }
 
+// Viewer is what a caller may see.
+type Viewer interface {
+	// Sees reports whether the caller may query and cancel a job of a workspace; the
+	// name is empty if the job has none.
+	Sees(workspace string) bool
+}
+
 // State returns the state of a job from the leader or, if that fails, from the
-// store. It returns ErrNoSuchJob if the job is not in the store.
-func (e *Entry) State(ctx context.Context, id job.ID) (sched.Status, error) {
+// store. It returns ErrNoSuchJob if the job is not in the store, or if the caller may
+// not see it.
+func (e *Entry) State(ctx context.Context, id job.ID, v Viewer) (sched.Status, error) {
+	st, err := e.find(ctx, id)
+	if err == nil && !v.Sees(st.Workspace) {
+		return sched.Status{}, errors.Wrapf(ErrNoSuchJob, "job %s", id)
+	}
+	return st, err
+}
+
+func (e *Entry) find(ctx context.Context, id job.ID) (sched.Status, error) {
 	if st, ok := e.Leader.Query(id); ok && st.Found {
 		return st, nil
 	}
@@ -64,27 +80,46 @@
 		if err != nil {
 			return sched.Status{}, errors.Wrapf(err, "job %s", id)
 		}
-		return sched.Status{Found: true, Started: p.Started, Outcome: p.Outcome}, nil
+		st := sched.Status{Found: true, Started: p.Started, Outcome: p.Outcome}
+		if e.ConfigWatcher.hasWorkspaces() {
+			st.Workspace, err = e.workspace(ctx, id)
+		}
+		return st, err
 	case !errors.Is(err, kv.ErrNotFound):
 		return sched.Status{}, err
 	}
-	if _, err := e.Store.Get(ctx, job.Key(id)); errors.Is(err, kv.ErrNotFound) {
-		return sched.Status{}, errors.Wrapf(ErrNoSuchJob, "job %s", id)
-	} else if err != nil {
+	w, err := e.workspace(ctx, id)
+	if err != nil {
 		return sched.Status{}, err
 	}
-	return sched.Status{Found: true}, nil
+	return sched.Status{Found: true, Workspace: w}, nil
+}
+
+// workspace returns the workspace in the stored record of a job, or ErrNoSuchJob if
+// there is no such record. Without configured workspaces the record is not decoded.
+func (e *Entry) workspace(ctx context.Context, id job.ID) (string, error) {
+	it, err := e.Store.Get(ctx, job.Key(id))
+	if errors.Is(err, kv.ErrNotFound) {
+		return "", errors.Wrapf(ErrNoSuchJob, "job %s", id)
+	}
+	if err != nil || !e.ConfigWatcher.hasWorkspaces() {
+		return "", err
+	}
+	name, err := job.DecodeWorkspace(it.Value)
+	return name, errors.Wrapf(err, "job %s", id)
 }
 
 // Cancel requests the end of a job. The job is cancelled once the cancel record is
-// stored.
-func (e *Entry) Cancel(ctx context.Context, id job.ID, deadline time.Time) (Verdict, error) {
-	if _, err := e.Store.Get(ctx, job.Key(id)); err != nil {
-		if errors.Is(err, kv.ErrNotFound) {
-			return Rejected, errors.Wrapf(ErrNoSuchJob, "job %s", id)
-		}
+// stored. Cancel returns ErrNoSuchJob if the job is not in the store, or if the caller
+// may not see it.
+func (e *Entry) Cancel(ctx context.Context, id job.ID, v Viewer, deadline time.Time) (Verdict, error) {
+	w, err := e.workspace(ctx, id)
+	if err != nil {
 		return Rejected, err
 	}
+	if !v.Sees(w) {
+		return Rejected, errors.Wrapf(ErrNoSuchJob, "job %s", id)
+	}
 	return e.Jobs.put(ctx, job.CancelKey(id), []byte{1}, deadline), nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,6 +124,7 @@
 			Logger: log.With(logger, "part", "entry"),
 		},
 		Logger: log.With(logger, "part", "front"), Now: time.Now, Stopping: d.stopping.Load, Count: d.metrics.AddRequest,
+		CountKey: d.metrics.AddKeyRejection, ConfigApply: s.Bounds.ConfigApply,
 	}
 	d.metrics.Gauge("jobs_open", "Jobs that have not ended, at the leader.", func() float64 { return float64(d.leader.Stats().Open) })
 	d.metrics.Gauge("runs", "Runs on all runners, at the leader.", func() float64 { return float64(d.leader.Stats().Runs) })
@@ -191,7 +192,7 @@
 		}
 		return err
 	}, func(error) { stepDown(); stop() })
-	callers := &http.Server{Handler: d.callerAPI.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := d.callerServer()
 	if err := d.serve(ctx, &g, "front", d.settings.Callers, callers); err != nil {
 		return err
 	}
@@ -233,6 +234,12 @@
 	idleTimeout = 15 * time.Second
 )
 
+// callerServer returns the server of the callers' API. It must read a header with a key
+// of 64 KB, which the API rejects; the default limit of http.Server allows that.
+func (d *Daemon) callerServer() *http.Server {
+	return &http.Server{Handler: d.callerAPI.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // serve adds an HTTP server to the group.
 func (d *Daemon) serve(ctx context.Context, g *run.Group, part string, addr netip.AddrPort, s *http.Server) error {
 	l, err := new(net.ListenConfig).Listen(ctx, "tcp", addr.String())
--- a/internal/host/recorded_test.go
+++ b/internal/host/recorded_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/recorded"
+	"gypsumtrestle.example/gypsumtrestle/internal/workspace"
 	"gypsumtrestle.example/gypsumtrestle/platform"
 )
 
@@ -19,5 +21,16 @@
 	d.metrics.AddRequest("state", 200, 30*time.Millisecond)
 	w := httptest.NewRecorder()
 	d.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	recorded.Open(t, "recorded.txt").Check("metrics", w.Body.Bytes())
+	f := recorded.Open(t, "recorded.txt")
+	f.Check("metrics", w.Body.Bytes())
+	d.metrics.AddKeyRejection(workspace.UnknownKey)
+	w = httptest.NewRecorder()
+	d.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	var lines []byte // of the counter; the others are checked above
+	for line := range strings.Lines(w.Body.String()) {
+		if strings.Contains(line, "_key_rejections_") {
+			lines = append(lines, line...)
+		}
+	}
+	f.Check("key-rejections", lines)
 }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -99,6 +99,18 @@
 	return &j, nil
 }
 
+// DecodeWorkspace returns the workspace in the stored form of a job; it is empty if the
+// job has none. The rest of the job is not checked.
+func DecodeWorkspace(b []byte) (string, error) {
+	var r struct {
+		Workspace string `cbor:"11,keyasint,omitempty"` // as in Job
+	}
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return "", errors.Wrap(err, "decode workspace of a job")
+	}
+	return r.Workspace, nil
+}
+
 // EncodeProgress returns the stored form of a job's progress.
 func EncodeProgress(p *Progress) ([]byte, error) {
 	b, err := cbor.Marshal(p)
--- a/internal/job/recorded_test.go
+++ b/internal/job/recorded_test.go
@@ -17,6 +17,13 @@
 	j.ID, j.Steps = id, append(j.Steps, recorded.New[Step]())
 	j.Steps[0].DependsOn, j.Steps[1].DependsOn = nil, []int{0}
 	recorded.RoundTripOf(f, "job-with-workspace", j, EncodeJob, DecodeJob)
+	b, err := EncodeJob(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w, err := DecodeWorkspace(b); err != nil || w != j.Workspace {
+		t.Errorf("workspace %q of the stored job, error %v, want %q", w, err, j.Workspace)
+	}
 	j.Workspace, j.Limits = "", nil // a queue without workspaces, or an earlier version
 	recorded.RoundTripOf(f, "job-with-terms", j, EncodeJob, DecodeJob)
 	j.Terms = nil // an earlier version stores none
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -9,6 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/workspace"
 )
 
 // Set holds the metrics of one daemon.
@@ -16,6 +18,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	keys     *prometheus.CounterVec
 }
 
 // New returns a Set without gauges.
@@ -29,8 +32,11 @@
 			Name: "gypsumtrestle_request_seconds", Help: "Time to answer a request by kind.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 		}, []string{"kind"}),
+		keys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumtrestle_key_rejections_total", Help: "Requests rejected for their key or for an outdated configuration, by reason.",
+		}, []string{"reason"}),
 	}
-	s.registry.MustRegister(s.requests, s.latency)
+	s.registry.MustRegister(s.requests, s.latency, s.keys)
 	return s
 }
 
@@ -40,6 +46,10 @@
 	s.latency.WithLabelValues(kind).Observe(took.Seconds())
 }
 
+// AddKeyRejection records one request that was rejected for its key or for an outdated
+// configuration.
+func (s *Set) AddKeyRejection(r workspace.Reason) { s.keys.WithLabelValues(string(r)).Inc() }
+
 // Gauge adds a gauge whose value is read when the metrics are scraped. It panics
 // if the name is already in use.
 func (s *Set) Gauge(name, help string, value func() float64) {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -50,6 +50,8 @@
 	Started bool        `cbor:"4,keyasint,omitempty"`
 	Outcome job.Outcome `cbor:"5,keyasint,omitempty"`
 	Count   int         `cbor:"6,keyasint,omitempty"`
+	// Workspace is that of the job; daemons of the previous release send and read none.
+	Workspace string `cbor:"7,keyasint,omitempty"`
 }
 
 // Source returns the results of queries. The bool results report whether this
@@ -99,7 +101,7 @@
 	r := reply{Seq: q.Seq}
 	if q.Job != "" {
 		st, ok := s.Query(q.Job)
-		r.Leading, r.Found, r.Started, r.Outcome = ok, st.Found, st.Started, st.Outcome
+		r.Leading, r.Found, r.Started, r.Outcome, r.Workspace = ok, st.Found, st.Started, st.Outcome, st.Workspace
 		return r
 	}
 	r.Count, r.Leading = s.Pending(q.Queue)
@@ -125,7 +127,7 @@
 // Query returns the state of a job.
 func (c *Client) Query(ctx context.Context, to netip.AddrPort, id job.ID) (sched.Status, error) {
 	r, err := c.roundTrip(ctx, to, query{Job: id})
-	return sched.Status{Found: r.Found, Started: r.Started, Outcome: r.Outcome}, err
+	return sched.Status{Found: r.Found, Started: r.Started, Outcome: r.Outcome, Workspace: r.Workspace}, err
 }
 
 // Pending returns the number of jobs of a queue that have not started.
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -317,6 +317,8 @@
 	Found   bool
 	Started bool
 	Outcome job.Outcome
+	// Workspace is that of the job; empty: none, or an earlier version replied.
+	Workspace string
 }
 
 // Query returns the state of a job. The job is reported as open until its outcome
@@ -326,7 +328,7 @@
 	if js == nil {
 		return Status{}
 	}
-	st := Status{Found: true, Started: js.started}
+	st := Status{Found: true, Started: js.started, Workspace: js.def.Workspace}
 	if js.storedVersion == js.version {
 		st.Outcome = js.outcome
 	}
