--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -10,5 +10,7 @@
 // cannot be queried. A job is reported as nonexistent only if it is not in the
 // store.
 //
-// While the store is unreachable, the last configuration stays active.
+// While the store is unreachable, the last configuration stays active, and its age
+// grows, by which package workspace rejects requests with keys. A caller that may not see
+// a job is told that it does not exist.
 package entry
