entry: test of older copies without a data race

Cause: TestAgeOfOlderCopy changed the store of a running watcher without synchronization, which go test -race reported. Change: an atomic pointer in the test's store.

--- a/internal/entry/config_age_test.go
+++ b/internal/entry/config_age_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,13 +23,13 @@
 type ageStore struct {
 	*store.Store
 	late  time.Duration
-	older *store.Store // nil: none
+	older atomic.Pointer[store.Store] // nil: none
 }
 
 func (s *ageStore) List(ctx context.Context, prefix string) ([]kv.Item, kv.Revision, error) {
 	from := s.Store
-	if s.older != nil {
-		from = s.older
+	if older := s.older.Load(); older != nil {
+		from = older
 	}
 	items, rev, err := from.List(ctx, prefix)
 	clock.Sleep(ctx, s.late)
@@ -36,13 +37,12 @@
 }
 
 func (s *ageStore) Watch(ctx context.Context, prefix string, after kv.Revision, until time.Time) ([]kv.Event, kv.Revision, error) {
-	late := s.late
-	if s.older != nil {
-		return s.older.Watch(ctx, prefix, after, until)
+	if older := s.older.Load(); older != nil {
+		return older.Watch(ctx, prefix, after, until)
 	}
 	events, rev, err := s.Store.Watch(ctx, prefix, after, until)
-	clock.Sleep(ctx, min(late, 400*time.Millisecond))
-	if late >= 400*time.Millisecond {
+	clock.Sleep(ctx, min(s.late, 400*time.Millisecond))
+	if s.late >= 400*time.Millisecond {
 		return nil, 0, errors.Wrap(kv.ErrUnknown, "time-out")
 	}
 	return events, rev, err
@@ -66,20 +66,20 @@
 // back a removed key, or that makes the configuration count as current.
 func TestAgeOfOlderCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &ageStore{Store: &store.Store{}, older: &store.Store{}}
-		s.older.Put("config", []byte("1"))
+		s, older := &ageStore{Store: &store.Store{}}, &store.Store{}
+		older.Put("config", []byte("1"))
+		s.older.Store(older)
 		w := runAged(t, s) // a restart that first reads the older copy
 		synctest.Wait()
 		s.Put("other", nil)
 		s.Put("config", []byte("2"))
 		s.Compact() // the next watch fails, so that the configuration is read
-		older := s.older
-		s.older = nil
+		s.older.Store(nil)
 		time.Sleep(time.Second)
 		if c, age := w.ConfigAge(); c.Version != 2 || age > time.Second {
 			t.Fatalf("version %d, age %v, want version 2", c.Version, age)
 		}
-		s.older = older
+		s.older.Store(older)
 		time.Sleep(5 * time.Second)
 		if c, age := w.ConfigAge(); c.Version != 2 || age < 4*time.Second {
 			t.Errorf("version %d, age %v, want version 2 as of when it was last read", c.Version, age)
