quota, sched: keep each workspace below its cap

Cause: a workspace could have any amount running on all runners together. Change: a ledger counts what each workspace may have running, from runnerState.add to remove, with an upper bound for unknown runs of previous leaders. A start above the cap is an obstacle of its own; work that the cap holds back does not attract machines. A cap that was lowered withholds starts that were not sent yet. A gauge counts workspaces at their cap.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -128,6 +128,7 @@
 	d.metrics.Gauge("jobs_open", "Jobs that have not ended, at the leader.", func() float64 { return float64(d.leader.Stats().Open) })
 	d.metrics.Gauge("runs", "Runs on all runners, at the leader.", func() float64 { return float64(d.leader.Stats().Runs) })
 	d.metrics.Gauge("long_running_waiting", "Long-running tasks that have had no run for seconds, at the leader.", func() float64 { return float64(d.leader.Stats().Waiting) })
+	d.metrics.Gauge("workspaces_capped", "Workspaces with waiting work that their cap keeps from starting, at the leader.", func() float64 { return float64(d.leader.Stats().Capped) })
 	d.metrics.Gauge("runners_reached", "Runners that answer, at the leader.", func() float64 { return float64(d.leader.Stats().Reachable) })
 	d.metrics.Gauge("relays", "Daemons that carry out calls for this one.", func() float64 { return float64(d.relays.Relays()) })
 	return d
--- a/internal/sched/capacity.go
+++ b/internal/sched/capacity.go
@@ -28,7 +28,7 @@
 }
 
 // withholdStart reports whether the start of a run must not be sent because its
-// runner is over its capacity, or may be. If no start of the run can have been
+// runner is over its capacity, or may be, or its workspace is over a cap that was lowered. If no start of the run can have been
 // received, the task is released, so that it is placed again. Otherwise the run
 // remains until a report shows whether it has begun; a gang is stopped at once,
 // since its other members may be waiting. A runner that enforces its capacity is
@@ -36,17 +36,18 @@
 func (s *State) withholdStart(r *run, now clock.BootTime) bool {
 	rs := r.runner
 	outdated := s.capacityOutdated(rs.Service, now)
-	if rs.used.Fits(rs.Capacity) && !outdated {
+	over := r.task.job.account.Over()
+	if rs.used.Fits(rs.Capacity) && !outdated && !over {
 		r.withheldAt = 0
 		return false
 	}
-	if r.startUnknown && s.enforcesCapacity(rs.Service) {
+	if !over && r.startUnknown && s.enforcesCapacity(rs.Service) {
 		return false
 	}
 	if r.withheldAt == 0 {
 		r.withheldAt, r.replyUntil = now, 0
 		s.Logger.Log("msg", "run start withheld", "task", r.task.name, "attempt", r.attempt, "runner", rs.ID, "unsure", r.startUnknown,
-			"outdated", outdated, "input", now.Sub(s.inputCurrentAt), "capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
+			"outdated", outdated, "over_cap", over, "input", now.Sub(s.inputCurrentAt), "capacity", rs.Capacity.CPU, "free", rs.free().CPU, "free_mem", rs.free().Mem, "runs", len(rs.runs), "heard", now.Sub(rs.lastReply))
 	}
 	if !r.startUnknown {
 		s.release(r, "start of a gang member withheld", now)
@@ -60,7 +61,7 @@
 // has been withheld since before the poll was sent. Only a start that is carried
 // out late could still begin the run.
 func (r *run) withheldLost(sent clock.BootTime) bool {
-	return r.phase == starting && r.withheldAt != 0 && sent.After(r.withheldAt) && !r.runner.used.Fits(r.runner.Capacity)
+	return r.phase == starting && r.withheldAt != 0 && sent.After(r.withheldAt) && (!r.runner.used.Fits(r.runner.Capacity) || r.task.job.account.Over())
 }
 
 // release removes a run that has certainly not begun. If its task is a member of
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -133,10 +133,10 @@
 		for i := range js.def.Steps {
 			sp := &js.def.Steps[i]
 			if n := d.tasksPerMachine(sp.Demand()); n > 0 {
-				total += float64(sp.Count) / float64(n)
+				total += float64(js.countWithinCap(i)) / float64(n)
 			}
 			if sp.PerRunner > 0 {
-				machines = max(machines, (sp.Count+sp.PerRunner-1)/sp.PerRunner)
+				machines = max(machines, (js.countWithinCap(i)+sp.PerRunner-1)/sp.PerRunner)
 			}
 		}
 	}
@@ -189,16 +189,16 @@
 			chain, coreSeconds := o.remaining()
 			class := s.deadlineClass(js, chain, now)
 			if !js.def.LongRunning() {
-				work[class] += coreSeconds
+				work[class] += o.workWithinCap(coreSeconds)
 			}
 			for _, st := range o.steps {
 				cpu := st.spec.Demand().CPU
 				switch {
 				case st.complete() || !o.ready(st):
 				case st.spec.LongRunning:
-					longRunningCPU += cpu * len(st.tasks)
+					longRunningCPU += cpu * (st.demandWithinCap() + st.done)
 				default:
-					readyCores[class] += float64(cpu*(len(st.tasks)-st.done)) / 1000
+					readyCores[class] += float64(cpu*st.demandWithinCap()) / 1000
 				}
 			}
 		}
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -105,6 +105,7 @@
 		if js := s.jobs[e.ID]; js != nil && js.created == e.Created {
 			removed[js] = true
 			delete(s.jobs, e.ID)
+			s.ledger.Release(js.account)
 		}
 	}
 	s.closed = slices.DeleteFunc(s.closed, func(js *jobState) bool { return removed[js] })
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -11,6 +11,9 @@
 
 // placeGang starts either all tasks of a step or none.
 func (s *State) placeGang(runners []*runnerState, st *step, now clock.BootTime) {
+	if capped(st) {
+		return
+	}
 	attempt, checkpoint := 0, ""
 	for _, t := range st.tasks {
 		if !s.startable(t, now) {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -36,7 +36,7 @@
 			}
 			for _, o := range js.occs {
 				for _, st := range o.steps {
-					if st.idle > 0 && st.spec.LongRunning && !st.spec.Gang && o.ready(st) {
+					if st.idle > 0 && st.spec.LongRunning && !st.spec.Gang && o.ready(st) && !capped(st) {
 						s.unplaced[st] += s.waitingForRoom(pool, st, now)
 						steps = append(steps, st)
 					}
@@ -63,7 +63,7 @@
 			n++
 		}
 	}
-	return n
+	return st.withinCap(n)
 }
 
 // couldTake reports whether a runner may be given a task of a step once it has room.
--- a/internal/sched/isolation.go
+++ b/internal/sched/isolation.go
@@ -273,7 +273,7 @@
 	var ts []*task
 	for _, o := range js.occs {
 		for _, st := range o.steps {
-			if st.spec.Gang || st.idle == 0 || !o.ready(st) {
+			if st.spec.Gang || st.idle == 0 || !o.ready(st) || capped(st) {
 				continue
 			}
 			if i := slices.IndexFunc(st.tasks, func(t *task) bool { return t.crashes.Suspect && s.startable(t, now) }); i >= 0 {
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -9,6 +9,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/quota"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -159,7 +160,9 @@
 	closed                 clock.BootTime // when the outcome was set
 	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
-	isolatedOn             *isolation // nil: no suspect waits or is being tried
+	isolatedOn             *isolation     // nil: no suspect waits or is being tried
+	account                *quota.Account // of its workspace; nil: it has none
+	tooLarge               bool           // a task of it exceeds the cap on its own, which was logged
 }
 
 func (js *jobState) open() bool { return js.outcome == job.Open && !js.cancelled }
--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -39,6 +39,7 @@
 				n++
 			}
 		}
+		n = st.withinCap(n)
 		d := st.spec.Demand()
 		for i := range occupied {
 			h := &occupied[i]
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -18,6 +18,9 @@
 			if !st.spec.Demand().Fits(maxFree) {
 				continue
 			}
+			if capped(st) {
+				continue
+			}
 			s.queryPolicy(runners, st, now)
 			if st.spec.Gang {
 				s.placeGang(runners, st, now)
@@ -42,6 +45,9 @@
 		if full && !t.crashes.Suspect || !s.startable(t, now) {
 			continue
 		}
+		if capped(st) {
+			break
+		}
 		rs := last
 		switch counted := s.isolatedFor(t, now); {
 		case counted != nil:
@@ -166,13 +172,14 @@
 	presentRun           // it has a run of the task
 	held                 // it is held for long-running tasks
 	stepLimit            // it has as many tasks of the step as may run there
+	aboveCap             // its workspace would have more running than its cap
 	noPermit             // the policy of the queue has not allowed it
 	isolated             // it is isolated for a suspect, or the task is one and it is not
 	obstacles            // number of obstacles
 )
 
 func (o obstacle) String() string {
-	return [...]string{"", "full", "label", "quarantined", "unusable", "present", "held", "limit", "permit", "isolation"}[o]
+	return [...]string{"", "full", "label", "quarantined", "unusable", "present", "held", "limit", "cap", "permit", "isolation"}[o]
 }
 
 // obstacleTo returns why a task may not run on a runner, apart from isolation.
@@ -193,6 +200,8 @@
 		return held
 	case sp.PerRunner > 0 && runsOfStep(rs, t) >= sp.PerRunner:
 		return stepLimit
+	case overCap(t):
+		return aboveCap
 	case !s.permitted(rs, t.step, now):
 		return noPermit
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -21,6 +21,7 @@
 		clear(s.usableByPool)
 		s.expireLeases(now)
 		s.resolveInherited()
+		s.planCaps(true, now)
 		s.closeFailed(now)
 		s.resend()
 		s.releaseDue(wall)
@@ -28,6 +29,9 @@
 		s.planIsolation(now)
 		s.planPools(now)
 	}
+	if !s.previousCounted {
+		s.planCaps(false, now)
+	}
 	for svc, jobs := range s.open {
 		if len(jobs) == 0 {
 			continue
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -91,7 +91,7 @@
 // maxFree.
 func (s *State) hasStartable(o *occurrence, maxFree job.Resources, now clock.BootTime) bool {
 	for _, st := range o.steps {
-		if st.idle == 0 || !st.spec.Demand().Fits(maxFree) || !o.ready(st) {
+		if st.idle == 0 || !st.spec.Demand().Fits(maxFree) || !o.ready(st) || capped(st) {
 			continue
 		}
 		for _, t := range st.tasks {
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -155,6 +155,7 @@
 	if rs.runs[r.task.name] == r {
 		delete(rs.runs, r.task.name)
 		rs.used = rs.used.Sub(r.demand)
+		r.uncount()
 		rs.countRun(r, -1)
 	}
 	t := r.task
@@ -184,6 +185,7 @@
 func (rs *runnerState) add(r *run) {
 	rs.runs[r.task.name] = r
 	rs.used = rs.used.Add(r.demand)
+	r.count()
 	rs.countRun(r, 1)
 	if t := r.task; len(t.runs) == 0 && !t.done {
 		t.step.idle--
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -10,6 +10,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/quota"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -81,16 +82,21 @@
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
-	needs          map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
-	heldAt         clock.BootTime              // when that was
-	standby        []*machineState             // see indexStandby
-	suspected      map[*jobState]bool          // open jobs that may have suspects
-	newlyIsolated  []runner.ID                 // see NewlyIsolated
-	countedOn      map[runner.ID][]job.Task    // tasks of which previous terms counted starts on a runner
-	losses         map[string][]clock.BootTime // when runners crashed or fell silent, by pool
-	unstable       map[string]bool             // by pool; see updateStability
-	unstableAt     map[string]clock.BootTime   // when a pool was last unstable
-	intents        map[machine.ID]Intent
+	ledger         quota.Ledger                // of what workspaces have running
+	// previousCounted is set once the ledger has the bounds for runs of previous terms.
+	previousCounted bool
+	previousRunners int                         // of which the bounds were computed
+	capsLoggedAt    clock.BootTime              // when the ledger was last logged
+	needs           map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
+	heldAt          clock.BootTime              // when that was
+	standby         []*machineState             // see indexStandby
+	suspected       map[*jobState]bool          // open jobs that may have suspects
+	newlyIsolated   []runner.ID                 // see NewlyIsolated
+	countedOn       map[runner.ID][]job.Task    // tasks of which previous terms counted starts on a runner
+	losses          map[string][]clock.BootTime // when runners crashed or fell silent, by pool
+	unstable        map[string]bool             // by pool; see updateStability
+	unstableAt      map[string]clock.BootTime   // when a pool was last unstable
+	intents         map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
 	lastCommandEnd map[machine.ID]clock.BootTime
@@ -171,6 +177,7 @@
 // configureJob applies a configuration to a job. If its queue is dropped, the last terms
 // of the queue are stored for later leaders, unless the job has them.
 func (s *State) configureJob(js *jobState, c *job.Config) {
+	defer s.checkCap(js)
 	dropped, unknown := js.queue != nil && c.Queues[js.def.Queue] == nil, js.terms == nil
 	js.configure(c)
 	if unknown && js.terms != nil && js.open() {
@@ -222,6 +229,7 @@
 			}
 		}
 	}
+	s.openAccount(js)
 	if s.cfg != nil {
 		js.configure(s.cfg)
 	}
@@ -241,9 +249,10 @@
 	}
 	svc := s.service(js)
 	s.open[svc] = append(s.open[svc], js)
-	if created > kv.Revision(s.Term) {
-		s.recordArrival(js, now)
+	if created > kv.Revision(s.Term) && !js.account.Held() {
+		s.recordArrival(js, now) // work that waits for room below the cap needs no machines
 	}
+	s.checkCap(js)
 	s.Logger.Log("msg", "job added", "job", j.ID, "queue", j.Queue, "service", svc, "rev", int64(created), "begun", js.started)
 	s.closeIfDone(js, now)
 }
@@ -256,6 +265,7 @@
 		return
 	}
 	js := &jobState{def: j, created: created, rev: rev, acceptedAt: now, started: true}
+	s.openAccount(js)
 	if s.cfg != nil {
 		js.configure(s.cfg)
 	}
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -6,11 +6,13 @@
 	// Waiting is how many long-running tasks were without a run for a while when
 	// they were last logged.
 	Waiting int
+	// Capped is how many workspaces have waiting work that their cap keeps from starting.
+	Capped int
 }
 
 // Stats returns the sizes of the state.
 func (s *State) Stats() Stats {
-	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting}
+	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting, Capped: s.ledger.Held()}
 	for _, jobs := range s.open {
 		c.Open += len(jobs)
 	}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -212,7 +212,7 @@
 			for _, t := range st.tasks {
 				if t.crashes.Suspect && !t.done {
 					suspected = true
-					waits = waits || !st.spec.Gang && !t.live() && !t.isGivenUp() && !s.awaitsStablePool(t, now) && !s.awaitsSilentRunner(t)
+					waits = waits || !capped(st) && !st.spec.Gang && !t.live() && !t.isGivenUp() && !s.awaitsStablePool(t, now) && !s.awaitsSilentRunner(t)
 				}
 			}
 		}
--- a/internal/sched/terms.go
+++ b/internal/sched/terms.go
@@ -15,6 +15,7 @@
 	if w := c.Workspaces[js.def.Workspace]; w != nil {
 		l := w.Limits()
 		js.limits = &l
+		js.account.Configure(l.Cap)
 	}
 }
 
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -95,6 +95,8 @@
 		return "may run on a runner of the previous term"
 	case s.awaitsStablePool(t, now):
 		return "runners of the pool are being lost"
+	case capped(t.step):
+		return "workspace at its cap"
 	case t.reserved != 0 && t.job.storedVersion < t.reservedVersion:
 		return "record not stored"
 	case t.crashes.Suspect && (t.job.isolatedOn == nil || len(t.job.isolatedOn.runners) == 0):
