--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"math"
-
-	"gypsumtrestle.example/gypsumtrestle/internal/job"
-)
+import "gypsumtrestle.example/gypsumtrestle/internal/job"
 
 // Account is what one workspace may have running, and its cap. The methods of a nil
 // account allow everything and record nothing.
@@ -22,16 +18,6 @@
 	demand     Demand
 }
 
-// Demand is the waiting work of a workspace.
-type Demand struct {
-	Tasks   int
-	Waiting job.Resources
-	// Held is how many of the tasks the cap keeps from starting.
-	Held int
-	// LongRunning is the part of Waiting that has precedence over other work.
-	LongRunning job.Resources
-}
-
 // Add counts a run of a task with the given resources.
 func (a *Account) Add(r job.Resources) {
 	if a != nil {
@@ -75,15 +61,6 @@
 	}
 }
 
-// Demand returns the waiting work.
-func (a *Account) Demand() Demand { return a.demand }
-
-// SetDemand replaces the waiting work.
-func (a *Account) SetDemand(d Demand) { a.demand = d }
-
-// Held reports whether the cap keeps waiting work from starting.
-func (a *Account) Held() bool { return a != nil && a.demand.Held > 0 }
-
 // Fits reports whether n tasks may be started together.
 func (a *Account) Fits(r job.Resources, n int) bool {
 	return a == nil || within(a.counted().Add(times(r, n)), a.limit)
@@ -99,31 +76,8 @@
 	return a != nil && !within(times(r, n), a.limit)
 }
 
-// Over reports whether the runs in the ledger exceed the cap, as after it was lowered.
-func (a *Account) Over() bool { return a != nil && !within(a.used, a.limit) }
-
-// Share returns which share of the waiting work the cap allows to start now.
-func (a *Account) Share() float64 {
-	if a == nil {
-		return 1
-	}
-	share, c, w := 1.0, a.counted(), a.demand.Waiting
-	for _, x := range [...][3]int{{a.limit.CPU, c.CPU, w.CPU}, {a.limit.Mem, c.Mem, w.Mem}, {a.limit.GPU, c.GPU, w.GPU}} {
-		if limit, counted, waiting := x[0], x[1], x[2]; limit > 0 && waiting > limit-counted {
-			share = min(share, max(0, float64(limit-counted)/float64(waiting)))
-		}
-	}
-	return share
-}
-
-// Startable returns how many of n waiting tasks the cap allows to start now, beside
-// the other waiting work of the workspace.
-func (a *Account) Startable(n int) int {
-	if a == nil {
-		return n
-	}
-	return int(math.Ceil(a.Share() * float64(n)))
-}
+// Over reports whether what may be running exceeds the cap, as after it was lowered.
+func (a *Account) Over() bool { return a != nil && !within(a.counted(), a.limit) }
 
 func (a *Account) counted() job.Resources { return a.used.Add(a.previous) }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -78,12 +78,14 @@
 	}
 }
 
-// SetDemand replaces the waiting work of all workspaces.
+// SetDemand replaces the waiting work of all workspaces, of which those that are not
+// named have none.
 func (l *Ledger) SetDemand(byAccount map[*Account]*Demand) {
 	for _, a := range l.accounts {
-		a.demand = Demand{}
 		if d := byAccount[a]; d != nil {
-			a.demand = *d
+			a.setDemand(*d)
+		} else {
+			a.demand = Demand{}
 		}
 	}
 }
--- a/internal/sched/arrival.go
+++ b/internal/sched/arrival.go
@@ -19,6 +19,10 @@
 	sizeWindow = 20
 )
 
+// maxJobAge limits the age derived from a job's acceptance time, because the
+// clocks of the hosts may jump.
+const maxJobAge = time.Minute
+
 // arrival averages the rate of jobs that arrive at a pool over a short and a
 // long window. The difference shows the trend of the rate. Jobs are counted
 // instead of their work, because a few large jobs would make an average of the
--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -20,6 +22,16 @@
 	longRunningReserveTime = 10 * time.Second
 )
 
+// caps is what the state holds for the caps of workspaces.
+type caps struct {
+	ledger quota.Ledger // of what workspaces may have running
+	// previousCounted is set once the ledger has the bounds for runs of previous terms, of
+	// previousRunners runners.
+	previousCounted bool
+	previousRunners int
+	capsLoggedAt    clock.BootTime // when the ledger was last logged
+}
+
 // openAccount gives a job the account of its workspace.
 func (s *State) openAccount(js *jobState) {
 	if js.account = s.ledger.Open(js.def.Workspace); js.account == nil {
@@ -147,35 +159,40 @@
 	}
 }
 
-// countWaiting counts the waiting work of each workspace.
+// countWaiting counts the waiting work of each workspace, and how much of it the cap
+// allows to start.
 func (s *State) countWaiting(now clock.BootTime) {
-	byAccount := make(map[*quota.Account]*quota.Demand)
-	for _, jobs := range s.open {
-		for _, js := range jobs {
-			if js.account == nil {
+	byAccount, steps := make(map[*quota.Account]*quota.Demand), make(map[*quota.Account][]*step)
+	pools := slices.Sorted(maps.Keys(s.open))
+	for _, pool := range pools {
+		for _, js := range s.open[pool] {
+			a := js.account
+			if a == nil {
 				continue
 			}
-			d := byAccount[js.account]
-			if d == nil {
-				d = &quota.Demand{}
-				byAccount[js.account] = d
+			if byAccount[a] == nil {
+				byAccount[a] = &quota.Demand{}
 			}
 			for _, o := range js.occs {
 				for _, st := range o.steps {
 					if st.idle > 0 && o.ready(st) {
-						s.addWaitingWork(d, st, now)
+						s.addWaitingWork(byAccount[a], st, now)
+						steps[a] = append(steps[a], st)
 					}
 				}
 			}
 		}
 	}
 	s.ledger.SetDemand(byAccount)
+	for a, sts := range steps {
+		for i, w := range a.Demand().Work {
+			sts[i].startable = w.Startable
+		}
+	}
 }
 
 func (s *State) addWaitingWork(d *quota.Demand, st *step, now clock.BootTime) {
-	r := st.spec.Resources
-	d.Tasks += st.idle
-	d.Waiting = d.Waiting.Add(job.Resources{CPU: r.CPU * st.idle, Mem: r.Mem * st.idle, GPU: r.GPU * st.idle})
+	d.Add(st.spec.Resources, st.idle)
 	if capped(st) {
 		d.Held += st.idle
 	}
@@ -184,9 +201,21 @@
 	}
 	for _, t := range st.tasks {
 		if now.Sub(max(t.endedAt, t.job.acceptedAt, s.startedAt)) < longRunningReserveTime && s.startable(t, now) {
-			d.LongRunning = d.LongRunning.Add(r)
+			d.LongRunning = d.LongRunning.Add(st.spec.Resources)
+		}
+	}
+}
+
+// arrivesWithinCap reports whether a new job counts for the work that its pool expects.
+// Work that waits for room below the cap of its workspace needs no machines.
+func (js *jobState) arrivesWithinCap() bool {
+	ok := true
+	for i := range js.def.Steps {
+		if sp := &js.def.Steps[i]; len(sp.DependsOn) == 0 {
+			ok = js.account.Arrive(sp.Resources, sp.Count) && ok
 		}
 	}
+	return ok
 }
 
 // logCaps logs what the workspaces use.
@@ -210,7 +239,12 @@
 
 // withinCap returns how many of n tasks of a step that wait count as demand of their
 // pool: those that the cap allows to start now, beside the other work of the workspace.
-func (s *step) withinCap(n int) int { return s.occ.job.account.Startable(n) }
+func (s *step) withinCap(n int) int {
+	if s.occ.job.account == nil {
+		return n
+	}
+	return min(n, s.startable)
+}
 
 // demandWithinCap returns how many tasks of a step count as demand of their pool.
 func (s *step) demandWithinCap() int { return len(s.tasks) - s.done - s.idle + s.withinCap(s.idle) }
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -94,6 +94,9 @@
 	done    int // done tasks
 	idle    int // tasks that are not done and have no run
 	permits permits
+	// startable is how many waiting tasks the cap of the workspace allowed to start in the
+	// last full planning pass.
+	startable int
 }
 
 // complete reports whether all tasks of the step are done.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -40,6 +40,7 @@
 	began          clock.BootTime
 	open           map[runner.ID]bool // whose inherited entry the previous leader had open, and which have not replied
 	missed         *modelRunner       // the last list of machines missed it
+	caps           int                // index of the cap that it knows
 }
 
 // delayed is a command that reaches its runner later.
@@ -49,6 +50,7 @@
 	term        runner.Term
 	command     Command
 	start       runner.Start
+	caps        int // index of the cap that its leader knew
 }
 
 type model struct {
@@ -76,6 +78,9 @@
 	lateReplies bool
 	enforced    bool // the pool is configured to reject what does not fit
 	maxLeaders  int  // those that may still act
+	// caps are the caps of the workspace, in tasks, the present one last; none: jobs
+	// have no workspace.
+	caps []int
 }
 
 func newModel(t *rapid.T, weaken string, enforced bool) *model {
@@ -113,8 +118,8 @@
 		limits.RunnerTakeover = 0
 	}
 	l.s = New(l.term, m.now, limits, log.NewNopLogger())
-	l.s.Configure(job.NewConfig(1, []*job.Queue{{Name: "q", Service: "p", MaxAttempts: 100, Stretch: 1, Target: time.Second}},
-		[]*job.Service{{Name: "p", EnforcesCapacity: m.enforced}}, job.Limits{}))
+	l.s.Configure(m.config())
+	l.caps = len(m.caps) - 1
 	l.s.InheritRoster(m.roster)
 	for _, j := range m.jobs {
 		l.s.AddJob(j, m.created[j.ID], m.progress[j.ID], m.progRev[j.ID], m.now, time.Unix(0, 0))
@@ -133,6 +138,15 @@
 	}
 }
 
+func (m *model) config() *job.Config {
+	var ws []*job.Workspace
+	if len(m.caps) > 0 {
+		ws = append(ws, &job.Workspace{Name: "w", Cap: job.Resources{CPU: m.caps[len(m.caps)-1] * modelTaskCPU}})
+	}
+	return job.NewConfig(1, []*job.Queue{{Name: "q", Service: "p", MaxAttempts: 100, Stretch: 1, Target: time.Second}},
+		[]*job.Service{{Name: "p", EnforcesCapacity: m.enforced}}, job.Limits{}, ws...)
+}
+
 // endStarts tells a leader when the previous one, which had stored the roster, starts no
 // more tasks.
 func (m *model) endStarts(l *modelLeader, vacant time.Duration) {
@@ -227,6 +241,7 @@
 	if l.stopped {
 		return
 	}
+	m.weakenCap(l, true)
 	l.s.Plan(m.now, time.Unix(0, 0))
 	l.commands = append(l.commands, l.s.Commands()...)
 }
@@ -342,7 +357,7 @@
 	for ; r.acked < min(seen, len(r.results)); r.acked++ {
 		res := r.results[r.acked]
 		at := r.endedAt[res.Seq]
-		if res.Cause != runner.Done || r.expiredAt > at {
+		if res.Cause != runner.Done || r.expiredAt > at || len(m.caps) > 0 {
 			continue
 		}
 		m.done[res.Task] = true
@@ -368,6 +383,7 @@
 		return
 	}
 	l.commands = l.commands[1:]
+	m.weakenCap(l, false)
 	start, needed := l.s.Prepare(&c, m.now)
 	if !needed {
 		return
@@ -393,7 +409,7 @@
 		l.commands = append(l.commands, c)
 		return
 	}
-	d := delayed{to: r, incarnation: r.incarnation, term: l.term, command: c, start: start}
+	d := delayed{to: r, incarnation: r.incarnation, term: l.term, command: c, start: start, caps: l.caps}
 	switch outcome {
 	case "refused":
 		l.s.HandleReply(&c, runner.Reply{Verdict: runner.Unhealthy, Clock: r.clock(m.now)}, true, true, m.now)
@@ -464,8 +480,11 @@
 		return reply
 	}
 	r.extend(d.start.LeaseUntil, m.now)
-	m.check(r, task)
+	if len(m.caps) == 0 {
+		m.check(r, task)
+	}
 	r.running[task] = attempt
+	m.checkCap(d)
 	m.started[task] = append(m.started[task], m.now)
 	return reply
 }
@@ -480,6 +499,9 @@
 	if rs == nil {
 		return reply // a stop, since the runner is removed
 	}
+	if len(m.caps) > 0 {
+		return reply // best-effort tasks use no capacity
+	}
 	known := rs.Capacity.CPU / modelTaskCPU
 	if r.incarnation == rs.Incarnation && len(r.running) > max(before, known) {
 		m.t.Fatalf("task %s started on %s, which then has %d runs and capacity for %d", d.command.Task, r.id, len(r.running), known)
--- a/internal/sched/scale_test.go
+++ b/internal/sched/scale_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,6 +121,59 @@
 	}
 }
 
+// BenchmarkPlanWorkspaces measures passes at 3,000 runners that start one task in each
+// pool, with 500 jobs waiting in the given number of workspaces.
+func BenchmarkPlanWorkspaces(b *testing.B) {
+	for _, workspaces := range []int{0, 20} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			s, now := newScaleState(b, 3000, 0)
+			var ws []*job.Workspace
+			for i := range workspaces {
+				ws = append(ws, &job.Workspace{Name: fmt.Sprint("w", i), Weight: 5, Cap: job.Resources{CPU: 1e9, Mem: 1e9}})
+			}
+			c := s.cfg
+			s.Configure(job.NewConfig(2, slices.Collect(maps.Values(c.Queues)), slices.Collect(maps.Values(c.Services)), c.Limits, ws...))
+			r := job.Resources{CPU: 2200, Mem: 2300}
+			for n := range 2392 { // the last pool has no runners
+				pool := fmt.Sprint("p", n%4)
+				j := &job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Queue: pool, Service: pool, Accepted: time.Unix(0, 0), Steps: []job.Step{
+					{Count: 8, Resources: r, Estimate: 800 * time.Millisecond}, {Count: 8, Resources: r, Estimate: 800 * time.Millisecond, DependsOn: []int{0}},
+				}}
+				if workspaces > 0 {
+					j.Workspace = ws[n/4%workspaces].Name
+				}
+				s.AddJob(j, 100, nil, 0, now, time.Unix(0, 0))
+			}
+			s.Plan(now, time.Unix(0, 0))
+			s.Commands()
+			waiting := 0
+			for _, jobs := range s.open {
+				for _, js := range jobs {
+					if js.occs[0].steps[0].idle == 8 {
+						waiting++
+					}
+				}
+			}
+			for b.Loop() {
+				b.StopTimer()
+				for p := range 4 {
+					rs := s.byPool[fmt.Sprint("p", p)][0]
+					for _, r := range rs.runs {
+						rs.remove(r)
+						break
+					}
+				}
+				now = now.Add(10 * time.Millisecond)
+				s.InputCurrent(0, now)
+				b.StartTimer()
+				s.Plan(now, time.Unix(0, 0))
+				s.Commands()
+			}
+			b.ReportMetric(float64(waiting), "waiting")
+		})
+	}
+}
+
 // BenchmarkLoseAll measures the loss of all runners at once.
 func BenchmarkLoseAll(b *testing.B) {
 	for _, n := range []int{1100, 3000} {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -10,7 +10,6 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
-	"gypsumtrestle.example/gypsumtrestle/internal/quota"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
 
@@ -82,21 +81,17 @@
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
-	ledger         quota.Ledger                // of what workspaces have running
-	// previousCounted is set once the ledger has the bounds for runs of previous terms.
-	previousCounted bool
-	previousRunners int                         // of which the bounds were computed
-	capsLoggedAt    clock.BootTime              // when the ledger was last logged
-	needs           map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
-	heldAt          clock.BootTime              // when that was
-	standby         []*machineState             // see indexStandby
-	suspected       map[*jobState]bool          // open jobs that may have suspects
-	newlyIsolated   []runner.ID                 // see NewlyIsolated
-	countedOn       map[runner.ID][]job.Task    // tasks of which previous terms counted starts on a runner
-	losses          map[string][]clock.BootTime // when runners crashed or fell silent, by pool
-	unstable        map[string]bool             // by pool; see updateStability
-	unstableAt      map[string]clock.BootTime   // when a pool was last unstable
-	intents         map[machine.ID]Intent
+	caps
+	needs         map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
+	heldAt        clock.BootTime              // when that was
+	standby       []*machineState             // see indexStandby
+	suspected     map[*jobState]bool          // open jobs that may have suspects
+	newlyIsolated []runner.ID                 // see NewlyIsolated
+	countedOn     map[runner.ID][]job.Task    // tasks of which previous terms counted starts on a runner
+	losses        map[string][]clock.BootTime // when runners crashed or fell silent, by pool
+	unstable      map[string]bool             // by pool; see updateStability
+	unstableAt    map[string]clock.BootTime   // when a pool was last unstable
+	intents       map[machine.ID]Intent
 	// lastCommandEnd is when the last command to a machine had a reply or
 	// failed without one.
 	lastCommandEnd map[machine.ID]clock.BootTime
@@ -249,8 +244,8 @@
 	}
 	svc := s.service(js)
 	s.open[svc] = append(s.open[svc], js)
-	if created > kv.Revision(s.Term) && !js.account.Held() {
-		s.recordArrival(js, now) // work that waits for room below the cap needs no machines
+	if created > kv.Revision(s.Term) && js.arrivesWithinCap() {
+		s.recordArrival(js, now)
 	}
 	s.checkCap(js)
 	s.Logger.Log("msg", "job added", "job", j.ID, "queue", j.Queue, "service", svc, "rev", int64(created), "begun", js.started)
@@ -273,10 +268,6 @@
 	s.close(js, job.Failed, "progress cannot be decoded", now)
 }
 
-// maxJobAge limits the age derived from a job's acceptance time, because the
-// clocks of the hosts may jump.
-const maxJobAge = time.Minute
-
 // CancelJob closes a job as cancelled and stops its runs.
 func (s *State) CancelJob(id job.ID, now clock.BootTime) {
 	js := s.jobs[id]
--- a/internal/sched/weakened_test.go
+++ b/internal/sched/weakened_test.go
@@ -27,6 +27,9 @@
 	for _, weaken := range []string{"blocked", "silent"} {
 		models["waves without "+weaken] = func(r *rapid.T) { checkWaves(r, t, weaken) }
 	}
+	for _, weaken := range []string{"previous", "stops", "lowered", "pass"} {
+		models["caps without "+weaken] = checkCaps(weaken)
+	}
 	models["starts"] = checkReborn("starts")
 	modeltest.MustFail(t, models)
 }
