sched: average the size of arriving jobs over more of them

Cause: pools followed the noise of the average over 20 jobs, whose sizes differ by more than their mean: at the peak of a surge 70 to 100 of 250 machines idled. Change: the average is over all jobs of the term, up to 100.

--- a/internal/sched/arrival.go
+++ b/internal/sched/arrival.go
@@ -15,8 +15,10 @@
 	longWindow  = 1500 * time.Millisecond
 	// maxRise limits the expected rate to a multiple of the current one.
 	maxRise = 2
-	// sizeWindow is the number of jobs over which their size is averaged.
-	sizeWindow = 20
+	// sizeWindow is the number of jobs over which their size is averaged. The sizes of
+	// jobs of one queue differ by more than their mean: over 20 jobs, the error of the
+	// average moved machines that no pool needed.
+	sizeWindow = 100
 )
 
 // maxJobAge limits the age derived from a job's acceptance time, because the
@@ -30,6 +32,7 @@
 type arrival struct {
 	short, long float64 // jobs per second
 	size        float64 // core-seconds per job
+	sized       int     // jobs in size, at most sizeWindow
 	at          clock.BootTime
 }
 
@@ -56,10 +59,8 @@
 	a = a.decay(now)
 	a.short += 1 / shortWindow.Seconds()
 	a.long += 1 / longWindow.Seconds()
-	if a.size == 0 {
-		a.size = coreSeconds
-	}
-	a.size += (coreSeconds - a.size) / sizeWindow
+	a.sized = min(a.sized+1, sizeWindow)
+	a.size += (coreSeconds - a.size) / float64(a.sized)
 	return a
 }
 
--- a/internal/sched/arrival_test.go
+++ b/internal/sched/arrival_test.go
@@ -53,3 +53,17 @@
 		t.Errorf("expected load %v core-seconds per second 10 s after the last job", got)
 	}
 }
+
+// TestArrivalsFirstSize guards against machines that are missing, or moved in vain, for as
+// long as the first job of a pool, which may be small or large, decides the average size.
+func TestArrivalsFirstSize(t *testing.T) {
+	for _, first := range []float64{0.1, 100} {
+		a := arrival{}.add(first, 1000*second)
+		for range 19 {
+			a = a.add(10, 1000*second)
+		}
+		if want := (first + 19*10) / 20; a.size < want*0.999 || a.size > want*1.001 {
+			t.Errorf("average size %v core-seconds after a first job of %v, want %v", a.size, first, want)
+		}
+	}
+}
