sched, estimate: learn the run times of tasks

Callers' estimates are off by up to 90% in both directions on some queues, so that the order of jobs, their deadline class and the demand of pools were wrong. The leader now learns run times by queue, step number and image from whole runs, and uses them once the declared estimates have proved off by more than half; until then the declared value is used unchanged. Ended siblings and tasks that run longer than expected correct the estimate of their step.

--- a/internal/sched/command.go
+++ b/internal/sched/command.go
@@ -187,6 +187,7 @@
 	st.Permit = r.ticket()
 	if r.task.step.spec.Checkpointing {
 		st.Checkpoint = r.task.checkpoint
+		r.resumed = r.resumed || st.Checkpoint != ""
 	}
 	r.startSent = true
 	return st, true
@@ -247,7 +248,7 @@
 	if reply.Verdict == runner.Accepted {
 		r.task.job.begun = true
 		if r.phase == starting {
-			r.phase, r.confirmedAt = running, now
+			r.phase, r.confirmedAt, r.startSeen = running, now, true
 		}
 		return
 	}
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -186,7 +186,7 @@
 	var readyCores, work [longOverdue + 1]float64
 	for _, js := range s.open[pool] {
 		for _, o := range js.occs {
-			chain, coreSeconds := o.remaining()
+			chain, coreSeconds := s.remaining(o, now)
 			class := s.deadlineClass(js, chain, now)
 			if !js.def.LongRunning() {
 				work[class] += coreSeconds
--- a/internal/sched/donor.go
+++ b/internal/sched/donor.go
@@ -68,11 +68,11 @@
 }
 
 // busyFor returns for how long the runs on a runner are expected to go on. One that
-// takes longer than its estimate may take as much longer again.
+// takes longer than expected may take as much longer again.
 func (rs *runnerState) busyFor(now clock.BootTime) time.Duration {
 	var longest time.Duration
 	for _, r := range rs.runs {
-		longest = max(longest, r.scheduledAt.Add(r.task.step.spec.Estimate).Sub(now).Abs())
+		longest = max(longest, r.scheduledAt.Add(r.task.step.expected).Sub(now).Abs())
 	}
 	return longest
 }
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -7,6 +7,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/crash"
+	"gypsumtrestle.example/gypsumtrestle/internal/estimate"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
@@ -43,6 +44,9 @@
 	unsettled    bool           // started on the previous incarnation of the runner
 	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
 	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
+	startSeen    bool           // confirmedAt is when the runner accepted the start
+	resumed      bool           // started from a checkpoint
+	slowed       bool           // its runner has reported it below full speed
 	sending      bool           // a start or stop of the run is queued or in flight
 	startSent    bool           // a start is in flight
 }
@@ -93,6 +97,10 @@
 	done    int // done tasks
 	idle    int // tasks that are not done and have no run
 	permits permits
+	// siblings are the run times of its tasks, and expected how long a task is expected
+	// to run, when that was last computed.
+	siblings estimate.Siblings
+	expected time.Duration
 }
 
 // complete reports whether all tasks of the step are done.
@@ -100,16 +108,12 @@
 
 // occurrence is one pass through the steps of a job.
 type occurrence struct {
-	job   *jobState
-	n     int
-	due   time.Time
-	steps []*step
-	done  int // complete steps
-	// remainingChain and remainingWork are the results of remaining for
-	// remainingAt done tasks.
-	remainingChain time.Duration
-	remainingWork  float64
-	remainingAt    int
+	job       *jobState
+	n         int
+	due       time.Time
+	steps     []*step
+	done      int           // complete steps
+	remaining remainingWork // see State.remaining
 }
 
 // ready reports whether the steps that s depends on are complete.
@@ -148,9 +152,10 @@
 	// the attempts of those of their tasks whose earlier results must be withheld.
 	dropped  job.Ranges
 	retried  map[job.Task]int
-	released int           // all occurrences before this one have been created
-	chain    time.Duration // estimated run time of the longest chain of tasks
-	total    float64       // estimated core-seconds of one occurrence
+	released int            // all occurrences before this one have been created
+	chain    time.Duration  // estimated run time of the longest chain of tasks; see updateChain
+	chainAt  clock.BootTime // when chain was last changed after the job was added; zero: never
+	total    float64        // estimated core-seconds of one occurrence
 	// version counts the changes of the progress; storedVersion is the version
 	// in the store.
 	version, storedVersion uint64
@@ -171,9 +176,9 @@
 			return o
 		}
 	}
-	o := &occurrence{job: js, n: n, due: js.def.Due(n), remainingAt: -1}
+	o := &occurrence{job: js, n: n, due: js.def.Due(n), remaining: remainingWork{done: -1}}
 	for i := range js.def.Steps {
-		s := &step{occ: o, spec: &js.def.Steps[i], index: i}
+		s := &step{occ: o, spec: &js.def.Steps[i], index: i, expected: js.def.Steps[i].Estimate}
 		s.tasks = make([]*task, s.spec.Count)
 		for k := range s.tasks {
 			t := &task{job: js, step: s, name: job.Task{Job: js.def.ID, Occ: n, Step: i, Index: k}}
@@ -266,52 +271,6 @@
 	return false
 }
 
-// estimate computes the longest chain and the total work of one occurrence.
-func (js *jobState) estimate() {
-	ends := make([]time.Duration, len(js.def.Steps))
-	for i := range js.def.Steps {
-		s := &js.def.Steps[i]
-		var from time.Duration
-		for _, a := range s.DependsOn {
-			from = max(from, ends[a])
-		}
-		ends[i] = from + s.Estimate
-		js.chain = max(js.chain, ends[i])
-		js.total += float64(s.Count) * float64(s.Resources.CPU) / 1000 * s.Estimate.Seconds()
-	}
-}
-
-// remaining returns the longest chain and the work in core-seconds that an
-// occurrence still needs.
-func (o *occurrence) remaining() (chain time.Duration, coreSeconds float64) {
-	done := 0
-	for _, s := range o.steps {
-		done += s.done
-	}
-	if o.remainingAt != done {
-		o.remainingChain, o.remainingWork = o.computeRemaining()
-		o.remainingAt = done
-	}
-	return o.remainingChain, o.remainingWork
-}
-
-func (o *occurrence) computeRemaining() (chain time.Duration, coreSeconds float64) {
-	ends := make([]time.Duration, len(o.steps))
-	for i, s := range o.steps {
-		if s.complete() {
-			continue
-		}
-		var from time.Duration
-		for _, a := range s.spec.DependsOn {
-			from = max(from, ends[a])
-		}
-		ends[i] = from + s.spec.Estimate
-		chain = max(chain, ends[i])
-		coreSeconds += float64(len(s.tasks)-s.done) * float64(s.spec.Resources.CPU) / 1000 * s.spec.Estimate.Seconds()
-	}
-	return chain, coreSeconds
-}
-
 // progress returns the durable record. That of a closed job keeps the attempts
 // that a later term needs to withhold the results of earlier ones.
 func (js *jobState) progress() *job.Progress {
--- a/internal/sched/model_runner_test.go
+++ b/internal/sched/model_runner_test.go
@@ -92,7 +92,7 @@
 	return i
 }
 
-func sortedTasks(m map[job.Task]int) []job.Task {
+func sortedTasks[V any](m map[job.Task]V) []job.Task {
 	ts := make([]job.Task, 0, len(m))
 	for t := range m {
 		ts = append(ts, t)
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -28,7 +28,7 @@
 				continue
 			}
 			c := candidate{occ: o, longRunning: js.def.LongRunning()}
-			chain, coreSeconds := o.remaining()
+			chain, coreSeconds := s.remaining(o, now)
 			c.coreSeconds = coreSeconds
 			if js.terms != nil {
 				c.priority = js.terms.Priority
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -104,6 +104,7 @@
 	first := !rs.replied
 	rs.replied, rs.unreachable, rs.unreported, rs.lastReply = true, false, false, now
 	rs.polledAt = max(rs.polledAt, sent)
+	rs.recordPoll(sent, now)
 	rs.confirmedAck = max(rs.confirmedAck, rs.polledAck)
 	rs.clock = clock.Reading{RunnerTime: rep.Clock, ReceivedAt: now}
 	s.applyResults(rs, rep.Results, now)
@@ -153,6 +154,7 @@
 		r.phase = running
 	}
 	r.percent, r.load = reported.Percent, reported.Load
+	r.slowed = r.slowed || r.percent < 100
 	if r.hasPassed(now) {
 		rs.health.recordSuccess()
 	}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -78,6 +78,9 @@
 		return nil
 	}
 	r := rs.runs[res.Task]
+	if r != nil {
+		s.learnRunTime(r, res, now)
+	}
 	if r != nil && r.attempt <= res.Attempt {
 		rs.remove(r)
 	}
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -70,6 +70,8 @@
 	unreported       bool // runs were abandoned, of which it has not reported the results
 	lastReply        clock.BootTime
 	polledAt         clock.BootTime // when the latest poll with a reply was sent
+	reportedAt       clock.BootTime // when the latest report was received
+	endedFrom        clock.BootTime // from when on the runs may have ended whose results it has
 	lostAt           clock.BootTime // when it last counted as lost; zero: never
 }
 
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/estimate"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
@@ -84,6 +85,7 @@
 	needs          map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
 	heldAt         clock.BootTime              // when that was
 	standby        []*machineState             // see indexStandby
+	runTimes       estimate.Table              // learned in this term
 	suspected      map[*jobState]bool          // open jobs that may have suspects
 	newlyIsolated  []runner.ID                 // see NewlyIsolated
 	countedOn      map[runner.ID][]job.Task    // tasks of which previous terms counted starts on a runner
@@ -100,6 +102,7 @@
 
 // New returns the state at the start of a term.
 func New(t runner.Term, now clock.BootTime, l Limits, logger log.Logger) *State {
+	logger.Log("msg", "no run times learned in this term, declared estimates used until they prove wrong")
 	return &State{
 		Term:           t,
 		Limits:         l,
@@ -231,7 +234,7 @@
 		s.closed = append(s.closed, js)
 		return
 	}
-	js.estimate()
+	s.estimate(js)
 	s.inheritCrashes(js)
 	for t := range js.storedTasks {
 		js.occurrence(t.Occ)
@@ -332,17 +335,3 @@
 	}
 	return st
 }
-
-// Pending returns the number of open jobs of a queue of which no task is known to
-// have begun.
-func (s *State) Pending(queue string) int {
-	n := 0
-	for _, jobs := range s.open {
-		for _, js := range jobs {
-			if js.def.Queue == queue && !js.begun {
-				n++
-			}
-		}
-	}
-	return n
-}
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// slowFactor is how many times its estimate a run may take before a copy is
+	// slowFactor is how many times the expected time a run may take before a copy is
 	// worth its resources.
 	slowFactor = 3
 	// slowMinimum is the minimum run time before a run is treated as slow.
@@ -34,7 +34,7 @@
 			if stalled && s.usable(rs, now) {
 				rs.blockedUntil = now.Add(stallBlockDelay)
 			}
-			slow := t.step.spec.Speculative && 2*t.step.done > len(t.step.tasks) && r.slow(now)
+			slow := t.step.spec.Speculative && 2*t.step.done > len(t.step.tasks) && s.slow(r, now)
 			if !stalled && !slow || len(t.runs) > 1 || t.retried || t.crashes.Suspect {
 				continue
 			}
@@ -44,7 +44,7 @@
 			}
 			t.retried = true
 			s.Logger.Log("msg", "slow or stalled run found", "task", t.name, "runner", rs.ID, "ran", now.Sub(r.confirmedAt),
-				"estimate", t.step.spec.Estimate, "load", r.load, "stalled", stalled)
+				"estimate", t.step.spec.Estimate, "expected", s.runTime(t.step, now), "load", r.load, "stalled", stalled)
 			if t.step.spec.Speculative {
 				s.start(t, other, t.attempt+1, now, "copy of a slow run")
 				continue
@@ -55,13 +55,13 @@
 	}
 }
 
-// slow reports whether a run takes much longer than its estimate.
-func (r *run) slow(now clock.BootTime) bool {
-	sp := r.task.step.spec
-	if sp.LongRunning || r.phase != running || sp.Estimate == 0 {
+// slow reports whether a run takes much longer than expected.
+func (s *State) slow(r *run, now clock.BootTime) bool {
+	if r.task.step.spec.LongRunning || r.phase != running {
 		return false
 	}
-	return now.Sub(r.confirmedAt) > max(slowFactor*sp.Estimate, slowMinimum)
+	expected := s.runTime(r.task.step, now)
+	return expected > 0 && now.Sub(r.confirmedAt) > max(slowFactor*expected, slowMinimum)
 }
 
 // recordLoad records since when a run uses no CPU. Only runs that should use CPU
