sched, interference: keep images apart that slow each other down

Some tasks take longer, or have a higher tail latency, because of what runs on the same runner, and nothing declares which. The leader now learns it by pairs of images from run times and tail latencies, and prefers runners where a known pair is apart, after data locality and never as an obstacle.

The flags of a run are moved together, so that it takes no more memory than before.

--- a/internal/estimate/table.go
+++ b/internal/estimate/table.go
@@ -13,8 +13,13 @@
 	Image string
 }
 
-// maxKeys bounds the entries of a table. An entry takes about 600 bytes.
-const maxKeys = 512
+const (
+	// maxKeys bounds the entries of a table. An entry takes about 800 bytes.
+	maxKeys = 512
+	// maxImage is the length from which an image is not learned. Callers choose the
+	// names, and a table keeps them.
+	maxImage = 256
+)
 
 // Table holds the learned run times. The zero value is empty. It is not safe for
 // concurrent use.
@@ -56,7 +61,7 @@
 // there is one.
 func (t *Table) Observe(k Key, declared time.Duration, s *Siblings, n int) *Change {
 	ran := s.typical(n)
-	if ran <= 0 {
+	if ran <= 0 || len(k.Image) >= maxImage {
 		return nil
 	}
 	el := t.entries[k]
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -75,8 +75,8 @@
 
 // New returns a daemon that is not running yet. As the leader it calls the runners
 // itself if there are at most directLimit of them, and otherwise through the other
-// daemons.
-func New(s *platform.Settings, metricsAddr netip.AddrPort, directLimit int, logger log.Logger) *Daemon {
+// daemons. If together is set, it places tasks without regard to interference.
+func New(s *platform.Settings, metricsAddr netip.AddrPort, directLimit int, together bool, logger log.Logger) *Daemon {
 	d := &Daemon{settings: s, logger: logger, metrics: metric.New(), metricsAddr: metricsAddr, incarnation: uuid.NewString()}
 	store := platform.NewStore(s.Store)
 	d.config = &entry.ConfigWatcher{
@@ -110,6 +110,7 @@
 			MaintenanceTime: s.Bounds.MaintenanceTime, MoveTime: s.Bounds.MoveTime, MachineTakeover: s.Bounds.MachineLease,
 		},
 		MaxValue:         s.MaxValue,
+		Together:         together,
 		RelativeCapacity: relativeCapacity,
 		RelativeCores:    min(s.Cores/referenceCores, 1),
 		Logger:           log.With(logger, "part", "lead"),
@@ -129,6 +130,8 @@
 	d.metrics.Gauge("runs", "Runs on all runners, at the leader.", func() float64 { return float64(d.leader.Stats().Runs) })
 	d.metrics.Gauge("long_running_waiting", "Long-running tasks that have had no run for seconds, at the leader.", func() float64 { return float64(d.leader.Stats().Waiting) })
 	d.metrics.Gauge("runners_reached", "Runners that answer, at the leader.", func() float64 { return float64(d.leader.Stats().Reachable) })
+	d.metrics.Gauge("interfering_pairs", "Pairs of images of which the first is slower beside the second, at the leader.", func() float64 { return float64(d.leader.Stats().KnownPairs) })
+	d.metrics.Counter("placements_apart_total", "Starts on another runner because of interference, in the present term of the leader.", func() float64 { return float64(d.leader.Stats().PlacedApart) })
 	d.metrics.Gauge("relays", "Daemons that carry out calls for this one.", func() float64 { return float64(d.relays.Relays()) })
 	return d
 }
--- a/internal/host/recorded_test.go
+++ b/internal/host/recorded_test.go
@@ -15,7 +15,7 @@
 // TestRecorded guards against renamed metrics, which operators' dashboards would
 // not find.
 func TestRecorded(t *testing.T) {
-	d := New(recorded.New[*platform.Settings](), netip.AddrPort{}, 1, log.NewNopLogger())
+	d := New(recorded.New[*platform.Settings](), netip.AddrPort{}, 1, false, log.NewNopLogger())
 	d.metrics.AddRequest("state", 200, 30*time.Millisecond)
 	w := httptest.NewRecorder()
 	d.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/lead/election.go
+++ b/internal/lead/election.go
@@ -167,6 +167,7 @@
 		machineLimiter: rate.NewLimiter(l.cfg.MachineCommandRate, machineBurst),
 		state:          sched.New(termID, now, limits, logger),
 	}
+	t.state.Together = l.cfg.Together
 	t.renewed.Store(int64(requested))
 	l.running.Store(t)
 	defer l.running.Store(nil)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -99,6 +99,8 @@
 	Limits        sched.Limits
 	// MaxValue is the largest value that the store holds, in bytes; zero: no limit.
 	MaxValue int
+	// Together is set if tasks are placed without regard to interference.
+	Together bool
 	// RelativeCapacity is the processor and link capacity of this host relative
 	// to a reference host. Hosts with less capacity campaign later.
 	RelativeCapacity float64
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -59,4 +59,10 @@
 // A long-running task is stopped on a runner that leaves once another one has room,
 // which is kept until it runs there. While one fits nowhere, runners are held: they
 // get no new batch tasks. What keeps such a task without a run is logged.
+//
+// # Learned in a term
+//
+// Package estimate learns how long tasks run, and package interference which images slow
+// each other down; see runtimes.go and interference.go for what is evidence and what uses
+// it. Neither is ever a reason not to start a task.
 package sched
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -37,18 +37,22 @@
 	throttledAt   clock.BootTime // when the throttle was last changed
 	load          int            // as in runner.Run
 	stopReason    string         // why it is stopped
+	replyUntil    clock.BootTime // until when a start without a reply is repeated; zero: none was sent, or it is withheld
+	withheldAt    clock.BootTime // since when its start is withheld; zero: it is not
+	stalledSince  clock.BootTime // since when it uses no CPU; zero: it does
+	latencyAt     clock.BootTime // when its latency was last observed
+	// The flags are together, since passes over all runs are limited by the memory that
+	// these take.
+
 	// startUnknown is set if a start had no reply, so that it may still be
 	// carried out even if a repeated one is rejected.
 	startUnknown bool
-	replyUntil   clock.BootTime // until when a start without a reply is repeated; zero: none was sent, or it is withheld
-	unsettled    bool           // started on the previous incarnation of the runner
-	withheldAt   clock.BootTime // since when its start is withheld; zero: it is not
-	stalledSince clock.BootTime // since when it uses no CPU; zero: it does
-	startSeen    bool           // confirmedAt is when the runner accepted the start
-	resumed      bool           // started from a checkpoint
-	slowed       bool           // its runner has reported it below full speed
-	sending      bool           // a start or stop of the run is queued or in flight
-	startSent    bool           // a start is in flight
+	unsettled    bool // started on the previous incarnation of the runner
+	startSeen    bool // confirmedAt is when the runner accepted the start
+	resumed      bool // started from a checkpoint
+	slowed       bool // its runner has reported it below full speed
+	sending      bool // a start or stop of the run is queued or in flight
+	startSent    bool // a start is in flight
 }
 
 // task is one task of an occurrence.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -42,14 +42,14 @@
 		if full && !t.crashes.Suspect || !s.startable(t, now) {
 			continue
 		}
-		rs := last
+		rs, other := last, (*runnerState)(nil)
 		switch counted := s.isolatedFor(t, now); {
 		case counted != nil:
 			if rs = counted; !s.allowed(rs, t, now) {
 				continue // it is isolated for the task and replies soon, or its isolation ends
 			}
 		case rs == nil || len(t.avoid) > 0 || !s.allowed(rs, t, now):
-			rs = s.choose(runners, t, now)
+			rs, other = s.chooseApart(runners, t, now)
 		}
 		if rs == nil && !t.crashes.Suspect && !s.suspected[t.job] {
 			break // the other tasks of the step have the same demand
@@ -59,12 +59,15 @@
 			continue
 		}
 		last = nil
-		if !st.spec.LongRunning && len(t.avoid) == 0 {
+		if !st.spec.LongRunning && len(t.avoid) == 0 && s.effects(t)[st.spec.Image] == 0 {
 			// Tasks are packed: a runner that was best for one of several equal
 			// tasks is also best for the next, as long as that fits.
 			last = rs
 		}
 		if attempt := s.nextAttempt(t); s.reserve(t, rs, attempt, now) {
+			if other != nil {
+				s.logApart(t, rs, other)
+			}
 			s.schedule(t, rs, attempt, now)
 			started = true
 			if !group.extend(t, rs, attempt) {
@@ -126,9 +129,16 @@
 
 // choose returns the best runner for a task, or nil if none may run it.
 func (s *State) choose(runners []*runnerState, t *task, now clock.BootTime) *runnerState {
-	var best *runnerState
-	var bestScore [4]int
+	best, _ := s.chooseApart(runners, t, now)
+	return best
+}
+
+// chooseApart returns the best runner for a task, or nil if none may run it, and the one
+// that would be the best without interference if that is another.
+func (s *State) chooseApart(runners []*runnerState, t *task, now clock.BootTime) (best, other *runnerState) {
+	var bestScore, otherScore scores
 	var perRack map[string]int
+	effects := s.effects(t)
 	if t.step.spec.LongRunning {
 		perRack = runsPerRack(t.step)
 	}
@@ -137,13 +147,30 @@
 			continue
 		}
 		sc := score(rs, t, perRack)
-		if best == nil || slices.Compare(sc[:], bestScore[:]) > 0 {
+		if effects != nil {
+			if other == nil || sc.exceeds(&otherScore) {
+				other, otherScore = rs, sc
+			}
+			sc[apart] = -rs.disturbance(effects)
+		}
+		if best == nil || sc.exceeds(&bestScore) {
 			best, bestScore = rs, sc
 		}
 	}
-	return best
+	if other == best {
+		other = nil
+	}
+	return best, other
 }
 
+// scores rank a runner for a task. They are compared in order; a higher one is better.
+type scores [5]int
+
+// apart is the index of the score for interference, which score leaves at 0.
+const apart = 2
+
+func (sc *scores) exceeds(o *scores) bool { return slices.Compare(sc[:], o[:]) > 0 }
+
 // allowed reports whether a task may run on a runner.
 func (s *State) allowed(rs *runnerState, t *task, now clock.BootTime) bool {
 	return s.eligible(rs, t, now) && s.isolationAllows(rs, t, now)
@@ -216,11 +243,11 @@
 	return c
 }
 
-// score ranks a runner for a task. The scores are compared in order; a higher
-// one is better. The runs of a long-running step are counted in perRack.
-func score(rs *runnerState, t *task, perRack map[string]int) [4]int {
+// score ranks a runner for a task, apart from interference. The runs of a long-running
+// step are counted in perRack.
+func score(rs *runnerState, t *task, perRack map[string]int) scores {
 	sp := t.step.spec
-	var sc [4]int
+	var sc scores
 	if !slices.Contains(t.avoid, rs.ID) {
 		sc[0] = 1
 	}
@@ -233,16 +260,16 @@
 		// over racks.
 		sc[1] = -perRack[rs.Rack]
 		if rs.longRunning > 0 {
-			sc[2] = 1
+			sc[3] = 1
 		}
-		sc[3] = rs.free().CPU
+		sc[4] = rs.free().CPU
 		return sc
 	}
 	if sp.BestEffort && rs.latencySensitive > 0 {
-		sc[2] = -1
+		sc[3] = -1
 	}
 	// Other tasks are packed, so that idle runners remain idle.
-	sc[3] = -rs.free().CPU
+	sc[4] = -rs.free().CPU
 	return sc
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -26,6 +26,7 @@
 		s.releaseDue(wall)
 		s.planWaves(now)
 		s.planIsolation(now)
+		s.updatePairs(now)
 		s.planPools(now)
 	}
 	for svc, jobs := range s.open {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -164,6 +164,7 @@
 	}
 	if reported.ReportsLoad {
 		r.recordLoad(now)
+		s.observeLatency(r, now)
 	}
 	if reported.Checkpoint != "" {
 		r.task.checkpoint = reported.Checkpoint
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -80,6 +80,7 @@
 	r := rs.runs[res.Task]
 	if r != nil {
 		s.learnRunTime(r, res, now)
+		s.recordPast(r, now)
 	}
 	if r != nil && r.attempt <= res.Attempt {
 		rs.remove(r)
--- a/internal/sched/runner_state.go
+++ b/internal/sched/runner_state.go
@@ -57,6 +57,9 @@
 	used             job.Resources
 	longRunning      int            // number of long-running runs
 	latencySensitive int            // number of runs with a target latency
+	images           map[string]int // number of runs by image, nil until there are any
+	past             []pastRun      // the last runs that ended, of which nextPast is replaced next
+	nextPast         int
 	blockedUntil     clock.BootTime // no starts before this time
 	idleSince        clock.BootTime // since when it has no runs
 	expiredAt        clock.BootTime // when its lease was first seen to be expired
@@ -172,7 +175,7 @@
 }
 
 // countRun adds d to the numbers of long-running and latency-sensitive runs if
-// r is one.
+// r is one, and to that of its image.
 func (rs *runnerState) countRun(r *run, d int) {
 	if r.task.step.spec.LongRunning {
 		rs.longRunning += d
@@ -180,6 +183,7 @@
 	if r.task.step.spec.TargetLatency > 0 {
 		rs.latencySensitive += d
 	}
+	rs.countImage(r.task.step.spec.Image, d)
 }
 
 // add records a run.
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -39,6 +39,7 @@
 	if ran < 2*deviation {
 		return // not known to within half
 	}
+	s.observeRunTime(r, ran, now)
 	st.siblings.Add(ran, deviation)
 	if !st.siblings.Complete(len(st.tasks)) {
 		return
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -37,6 +37,7 @@
 	Term   runner.Term
 	Limits Limits
 	Logger log.Logger
+	interferences
 
 	startedAt clock.BootTime
 	// confirmedAt is the latest time at which this term certainly led; see
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -6,11 +6,14 @@
 	// Waiting is how many long-running tasks were without a run for a while when
 	// they were last logged.
 	Waiting int
+	// KnownPairs is how many ordered pairs of images are known to slow the first one, and
+	// PlacedApart how many placements that has changed in this term.
+	KnownPairs, PlacedApart int
 }
 
 // Stats returns the sizes of the state.
 func (s *State) Stats() Stats {
-	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting}
+	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting, KnownPairs: s.pairs.Known(), PlacedApart: s.placedApart}
 	for _, jobs := range s.open {
 		c.Open += len(jobs)
 	}
