--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -79,11 +79,8 @@
 				tb.Observe(Latency, "served", latency, 1./6, beside[k], now)
 			}
 			for _, c := range tb.Update(now) {
-				switch {
-				case c.By != "slow":
-					t.Errorf("seed %d: %v at %v, want no pair with another image", seed, c, now.Sub(1000*second))
-				case c.Expired == "" && (now < begin || now > end), c.Expired != "" && now < end:
-					t.Errorf("seed %d: %v at %v, want it known between 10 s and 25 s", seed, c, now.Sub(1000*second))
+				if c.By != "slow" || c.Expired == "" && (now < begin || now > end) || c.Expired != "" && now < end {
+					t.Errorf("seed %d: %v at %v, want the slow image alone known, between 10 s and 25 s", seed, c, now.Sub(1000*second))
 				}
 			}
 			known := tb.Effects("slow")["served"] > 0
--- a/internal/sched/interference_test.go
+++ b/internal/sched/interference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -10,6 +11,8 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/interference"
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 )
@@ -17,99 +20,62 @@
 // colocated is a replay of jobs of 4 tasks on 10 runners with room for 10 each. The images
 // a and b are those of half of the jobs; twenty others are harmless.
 type colocated struct {
-	*fixture
+	*replay
 	rng   *rand.Rand
-	left  map[runner.ID]map[job.Task]float64 // seconds of work that the runs need
-	jobs  int
 	slow  float64 // how many times as long a and b take beside each other
 	lines []string
-	// beside are the passes in which a run of a had b beside it, of all of its passes.
-	beside, passes int
-	most           int // runs at once
+	most  int // runs at once
+	// beside are the passes of runs of the pair in which it was together, of all of them.
+	beside, all float64
 }
 
 func newColocated(t *testing.T, seed uint64) *colocated {
-	f := &colocated{fixture: newFixture(t, 1), rng: rand.New(rand.NewPCG(seed, 3)), slow: 1.5, left: make(map[runner.ID]map[job.Task]float64)}
+	f := &colocated{replay: newReplay(t, 10, 1), rng: rand.New(rand.NewPCG(seed, 3)), slow: 1.5}
 	f.s.Logger = log.LoggerFunc(func(kv ...any) error {
 		if msg := fmt.Sprint(kv[1]); strings.HasPrefix(msg, "interference") {
 			f.lines = append(f.lines, fmt.Sprintf("%v %v beside %v", msg, kv[3], kv[5]))
 		}
 		return nil
 	})
-	for i := range 10 {
-		in := info(runner.ID(fmt.Sprint("r", i)), "pool")
-		in.Capacity = job.Resources{CPU: 32000, Mem: 64000}
-		f.s.SetRunner(in, f.now)
-		f.left[in.ID] = make(map[job.Task]float64)
-		f.report(in.ID)
+	f.work = func(job.Task) float64 {
+		if w := 0.6 * (0.8 + 0.4*f.rng.Float64()); f.rng.Float64() >= 0.03 {
+			return w
+		}
+		return 7 * 0.6
+	}
+	image := func(t job.Task) string { return f.s.jobs[t.Job].def.Steps[0].Image }
+	f.speed = func(t job.Task, on map[job.Task]float64) float64 {
+		other := map[string]string{"a": "b", "b": "a"}[image(t)]
+		if other == "" {
+			return 1
+		}
+		f.all++
+		for x := range on {
+			if image(x) == other {
+				f.beside++
+				return 1 / f.slow
+			}
+		}
+		return 1
 	}
-	f.s.RosterStored(f.s.Roster(f.now, false))
 	return f
 }
 
-func (f *colocated) image(t job.Task) string { return f.s.jobs[t.Job].def.Steps[0].Image }
-
 // run replays a time with jobs that arrive at a rate per second, and returns the log lines
-// and the share of the time of a that it had b beside it.
+// and the share of the time of runs of the pair in which it was together.
 func (f *colocated) run(d time.Duration, rate float64) (lines []string, beside float64) {
-	f.lines, f.beside, f.passes, f.most = nil, 0, 0, 0
+	f.lines, f.beside, f.all, f.most = nil, 0, 0, 0
 	for end := f.now.Add(d); f.now < end; {
 		if f.rng.Float64() < rate*fullPlanInterval.Seconds() {
 			image := fmt.Sprint("other", f.rng.IntN(20))
 			if f.rng.IntN(2) == 0 {
 				image = []string{"a", "b"}[f.rng.IntN(2)]
 			}
-			f.jobs++
-			f.job(f.jobs, job.Step{Count: 4, Image: image, Resources: job.Resources{CPU: 3100, Mem: 100}, Estimate: 600 * time.Millisecond})
-		}
-		for _, c := range f.plan() {
-			f.left[c.To.ID][c.Task] = 0.6 * (0.8 + 0.4*f.rng.Float64())
-			if f.rng.Float64() < 0.03 {
-				f.left[c.To.ID][c.Task] *= 7
-			}
-			f.accept([]Command{c})
-		}
-		f.work()
-		f.flush()
-	}
-	return f.lines, float64(f.beside) / float64(max(f.passes, 1))
-}
-
-// work lets the runs go on until the next pass.
-func (f *colocated) work() {
-	total := 0
-	for i := range 10 {
-		id := runner.ID(fmt.Sprint("r", i))
-		here := make(map[string]bool)
-		for t := range f.left[id] {
-			here[f.image(t)] = true
-		}
-		var runs []runner.Run
-		f.results[id] = slices.DeleteFunc(f.results[id], func(r runner.RunResult) bool { return r.Seq <= f.s.runners[id].acked })
-		for _, t := range sortedTasks(f.left[id]) {
-			speed := 1.
-			if im := f.image(t); im == "a" && here["b"] || im == "b" && here["a"] {
-				speed /= f.slow
-			}
-			if f.image(t) == "a" {
-				f.passes++
-				if here["b"] {
-					f.beside++
-				}
-			}
-			f.left[id][t] -= speed * fullPlanInterval.Seconds()
-			if f.left[id][t] <= 0 {
-				f.results[id] = append(f.results[id], runner.RunResult{Seq: f.s.runners[id].applied + 1 + len(f.results[id]), Task: t, Attempt: 1})
-				delete(f.left[id], t)
-				continue
-			}
-			total++
-			runs = append(runs, runner.Run{Task: t, Attempt: 1, Percent: 100})
+			f.job(len(f.s.jobs)+1, job.Step{Count: 4, Image: image, Resources: job.Resources{CPU: 3100, Mem: 100}, Estimate: 600 * time.Millisecond})
 		}
-		f.report(id, runs...)
-		f.results[id] = nil
+		f.most = max(f.most, f.pass())
 	}
-	f.most = max(f.most, total)
+	return f.lines, f.beside / max(f.all, 1)
 }
 
 // TestInterference guards against a pair of images that is not found or not kept apart, a
@@ -119,21 +85,21 @@
 	for seed := range uint64(3) {
 		f := newColocated(t, seed)
 		f.s.Together = true
-		_, together := f.run(20*time.Second, 15)
+		off, together := f.run(20*time.Second, 15)
 		f.s.Together = false
 		learned, _ := f.run(10*time.Second, 15)
 		_, apart := f.run(8*time.Second, 15)
 		_, full := f.run(8*time.Second, 40)
-		t.Logf("seed %d: a beside b for %.2f of its time together, %.2f apart, %.2f at full capacity; %q", seed, together, apart, full, learned)
+		t.Logf("seed %d: pair together for %.2f of its time before it was known, %.2f afterwards, %.2f at full capacity; %q", seed, together, apart, full, learned)
+		if len(off) > 0 {
+			t.Errorf("seed %d: log lines %q while it was turned off", seed, off)
+		}
 		slices.Sort(learned)
 		if want := []string{"interference learned a beside b", "interference learned b beside a"}; !slices.Equal(learned, want) {
 			t.Errorf("seed %d: log lines %q, want %q", seed, learned, want)
 		}
-		if together < 0.25 || apart > 0.05 {
-			t.Errorf("seed %d: a had b beside it for %.2f of its time while the pair was not known, and for %.2f afterwards", seed, together, apart)
-		}
-		if full < 0.25 || f.most < 100 {
-			t.Errorf("seed %d: a had b beside it for %.2f of its time, with up to %d runs, want both together and all 100 slots in use", seed, full, f.most)
+		if together < 0.25 || apart > 0.05 || full < 0.25 || f.most < 100 {
+			t.Errorf("seed %d: up to %d runs, want the pair together at first, apart once known, and together with all 100 slots in use", seed, f.most)
 		}
 		f.slow = 1
 		lines, _ := f.run(60*time.Second, 15)
@@ -142,3 +108,63 @@
 		}
 	}
 }
+
+// TestBeside guards against an effect that is attributed to a task which ended before, to
+// one that is throttled as if it ran at full speed, or to the task itself.
+func TestBeside(t *testing.T) {
+	f := newFixture(t, 1)
+	f.runner("a")
+	id := f.job(1, job.Step{Image: "served", LongRunning: true, TargetLatency: time.Second})
+	f.job(2, job.Step{Image: "best-effort", BestEffort: true}, job.Step{Image: "short"})
+	f.accept(f.plan())
+	f.now += second
+	for _, r := range f.s.runners["a"].runs {
+		r.percent = 40
+	}
+	short := job.Task{Job: "0000000000000002", Step: 1}
+	f.end("a", short, 1, runner.Done)
+	f.s.applyResults(f.s.runners["a"], f.results["a"], f.now)
+	f.now += second / 4
+	for from, want := range map[clock.BootTime]map[string]float64{
+		f.now - second/2: {"best-effort": 0.4, "short": 0.5},
+		f.now - second/8: {"best-effort": 0.4},
+	} {
+		got := make(map[string]float64)
+		for _, nb := range f.s.beside(f.s.jobs[id].occs[0].steps[0].tasks[0].runs[0], from, f.now) {
+			got[nb.Image] = nb.Amount
+		}
+		if !maps.Equal(got, want) {
+			t.Errorf("%v beside the task in the last %v, want %v", got, f.now.Sub(from), want)
+		}
+	}
+}
+
+// TestApartYields guards against interference that takes precedence over data locality, or
+// keeps a task from running where there is no other room.
+func TestApartYields(t *testing.T) {
+	for name, c := range map[string]struct {
+		rack  string // of the data; that of the runner with the other image is near
+		full  bool   // the other runner
+		start runner.ID
+	}{
+		"apart": {start: "b"}, "data": {rack: "near", start: "a"}, "no room": {full: true, start: "a"},
+	} {
+		f := newFixture(t, 1)
+		f.runner("a", "b")
+		f.s.runners["a"].Rack = "near"
+		for i := range 40 {
+			beside := []interference.Neighbor{{Image: "other", Amount: float64(i % 2)}}
+			f.s.pairs.Observe(interference.RunTime, "task", 1+float64(i%2), 1, beside, f.now)
+		}
+		f.job(1, job.Step{Image: "other", Rack: "near"})
+		f.accept(f.plan())
+		if c.full {
+			f.s.runners["b"].Capacity = job.Resources{}
+		}
+		f.now += second
+		f.job(2, job.Step{Image: "task", Rack: c.rack})
+		if starts := ofKind(f.plan(), StartRun); len(starts) != 1 || starts[0].To.ID != c.start || f.s.Stats().KnownPairs != 1 {
+			t.Errorf("%s: starts %v with %d known pairs, want one on %s", name, starts, f.s.Stats().KnownPairs, c.start)
+		}
+	}
+}
