--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -8,11 +8,17 @@
 	Waiting int
 	// Capped is how many workspaces have waiting work that their cap keeps from starting.
 	Capped int
+	// KnownPairs is how many ordered pairs of images are known to slow the first one, and
+	// PlacedApart how many placements that has changed in this term.
+	KnownPairs, PlacedApart int
 }
 
 // Stats returns the sizes of the state.
 func (s *State) Stats() Stats {
-	c := Stats{Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting, Capped: s.ledger.Held()}
+	c := Stats{
+		Jobs: len(s.jobs), Runners: len(s.runners), Waiting: s.waiting,
+		Capped: s.ledger.Held(), KnownPairs: s.pairs.Known(), PlacedApart: s.placedApart,
+	}
 	for _, jobs := range s.open {
 		c.Open += len(jobs)
 	}
@@ -24,3 +30,17 @@
 	}
 	return c
 }
+
+// Pending returns the number of open jobs of a queue of which no task is known to
+// have begun.
+func (s *State) Pending(queue string) int {
+	n := 0
+	for _, jobs := range s.open {
+		for _, js := range jobs {
+			if js.def.Queue == queue && !js.begun {
+				n++
+			}
+		}
+	}
+	return n
+}
