share, sched: rank jobs beyond the share of their workspace last

Change: start tags by workspace, computed in the order of acceptance. A job whose tag is too far ahead of its acceptance is beyond the share and comes after all jobs within theirs, before queue priority; its work counts as late for the moves of machines. State.beyondShare and workspacesBeyondShare are for overload control.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// Has reports whether a workspace has an account.
+func (l *Ledger) Has(workspace string) bool { return l.accounts[workspace] != nil }
+
 // Empty reports whether there are no accounts.
 func (l *Ledger) Empty() bool { return len(l.accounts) == 0 }
 
--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -225,6 +225,7 @@
 	}
 	s.capsLoggedAt = now
 	s.ledger.Sweep()
+	s.sweepShares(now)
 	as := s.ledger.Accounts()
 	for _, a := range as[:min(len(as), maxCapLines)] {
 		used, runs := a.Used()
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -187,7 +187,7 @@
 	for _, js := range s.open[pool] {
 		for _, o := range js.occs {
 			chain, coreSeconds := o.remaining()
-			class := s.deadlineClass(js, chain, now)
+			class := s.shareClass(js, s.deadlineClass(js, chain, now), now)
 			if !js.def.LongRunning() {
 				work[class] += o.workWithinCap(coreSeconds)
 			}
--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -11,6 +11,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/quota"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
+	"gypsumtrestle.example/gypsumtrestle/internal/share"
 )
 
 // phase is the phase of a run.
@@ -165,6 +166,7 @@
 	storedTasks            map[job.Task]*job.TaskProgress
 	isolatedOn             *isolation     // nil: no suspect waits or is being tried
 	account                *quota.Account // of its workspace; nil: it has none
+	tag                    share.Tag      // its At is the time of acceptance until it is tagged
 	tooLarge               bool           // a task of it exceeds the cap on its own, which was logged
 }
 
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -13,6 +13,7 @@
 type candidate struct {
 	occ           *occurrence
 	longRunning   bool
+	beyondShare   bool // of its workspace; see beyondShare
 	priority      int
 	deadlineClass deadlineClass
 	coreSeconds   float64 // remaining work in core-seconds
@@ -27,7 +28,7 @@
 			if !s.hasStartable(o, maxFree, now) {
 				continue
 			}
-			c := candidate{occ: o, longRunning: js.def.LongRunning()}
+			c := candidate{occ: o, longRunning: js.def.LongRunning(), beyondShare: s.beyondShare(js, now)}
 			chain, coreSeconds := o.remaining()
 			c.coreSeconds = coreSeconds
 			if js.terms != nil {
@@ -40,6 +41,7 @@
 	slices.SortStableFunc(cs, func(a, c candidate) int {
 		return cmp.Or(
 			-compareBool(a.longRunning, c.longRunning),
+			compareBool(a.beyondShare, c.beyondShare),
 			cmp.Compare(a.priority, c.priority),
 			cmp.Compare(a.deadlineClass, c.deadlineClass),
 			cmp.Compare(a.coreSeconds, c.coreSeconds),
--- /dev/null
+++ b/internal/sched/shares.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
+	"gypsumtrestle.example/gypsumtrestle/internal/share"
+)
+
+// maxReadLag is how long before a job is read it may have been accepted, as far as its
+// share is concerned. A wall clock that jumps makes the times of acceptance stand still
+// for no longer. The store gives jobs late by less, also when it is slow.
+const maxReadLag = 5 * time.Second
+
+// shares is what the state holds for the shares of workspaces.
+type shares struct {
+	lines    share.Lines
+	untagged []*jobState // in any order
+}
+
+// awaitTag records that a job needs a tag. The jobs of previous terms are read in no
+// particular order, so that tags are given when they are first needed.
+func (s *State) awaitTag(js *jobState, now clock.BootTime) {
+	if js.def.Workspace == "" || js.def.LongRunning() {
+		return
+	}
+	js.tag.At = js.acceptedAt
+	if js.created > kv.Revision(s.Term) {
+		js.tag.At = max(js.acceptedAt, now.Add(-maxReadLag))
+	}
+	s.untagged = append(s.untagged, js)
+}
+
+// tagJobs gives tags to the jobs that need one, in the order of acceptance.
+func (s *State) tagJobs() {
+	if len(s.untagged) == 0 {
+		return
+	}
+	slices.SortFunc(s.untagged, func(a, b *jobState) int { return cmp.Compare(a.created, b.created) })
+	for _, js := range s.untagged {
+		weight := 0.0
+		if js.limits != nil {
+			weight = js.limits.Weight
+		}
+		js.tag = s.lines.Next(js.def.Workspace, js.tag.At, weight)
+		if js.tag.Beyond && js.open() {
+			s.Logger.Log("msg", "job beyond the share of its workspace", "job", js.def.ID, "workspace", js.def.Workspace, "weight", weight, "lead", js.tag.Lead, "rev", int64(js.created))
+		}
+	}
+	clear(s.untagged)
+	s.untagged = s.untagged[:0]
+}
+
+// beyondShare reports whether a job is beyond the share of its workspace, so that it comes
+// after all jobs within theirs. Long-running jobs and jobs without a workspace never are.
+// A job keeps its place until it is done.
+func (s *State) beyondShare(js *jobState, _ clock.BootTime) bool {
+	s.tagJobs()
+	return js.tag.Beyond
+}
+
+// workspacesBeyondShare returns the workspaces of which a job that is accepted now would
+// be beyond the share, ordered by name.
+func (s *State) workspacesBeyondShare(now clock.BootTime) []string {
+	s.tagJobs()
+	return s.lines.Beyond(now)
+}
+
+// configureShares applies the weights of a configuration to the next jobs.
+func (s *State) configureShares() {
+	for name, w := range s.cfg.Workspaces {
+		s.lines.Configure(name, w.Weight)
+	}
+}
+
+// sweepShares drops the tags of workspaces that are neither configured nor have jobs.
+func (s *State) sweepShares(now clock.BootTime) {
+	s.lines.Sweep(now, func(name string) bool { return s.cfg.Workspaces[name] != nil || s.ledger.Has(name) })
+}
+
+// arrivesWithinShare reports whether a new job counts for the work that its pool expects.
+// Before the first planning pass, jobs of previous terms may not have been read yet.
+func (s *State) arrivesWithinShare(js *jobState, now clock.BootTime) bool {
+	return s.lastFullPlan == 0 || !s.beyondShare(js, now)
+}
+
+// shareClass returns the class of a job's work as demand of its pool. Work beyond a share
+// yields machines to timely work within one.
+func (s *State) shareClass(js *jobState, c deadlineClass, now clock.BootTime) deadlineClass {
+	if s.beyondShare(js, now) {
+		return max(c, late)
+	}
+	return c
+}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -82,6 +82,7 @@
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
 	caps
+	shares
 	needs         map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
 	heldAt        clock.BootTime              // when that was
 	standby       []*machineState             // see indexStandby
@@ -139,6 +140,7 @@
 // to their queue.
 func (s *State) Configure(c *job.Config) {
 	s.cfg = c
+	s.configureShares()
 	for _, js := range s.jobs {
 		s.configureJob(js, c)
 	}
@@ -225,6 +227,7 @@
 		}
 	}
 	s.openAccount(js)
+	s.awaitTag(js, now)
 	if s.cfg != nil {
 		js.configure(s.cfg)
 	}
@@ -244,7 +247,7 @@
 	}
 	svc := s.service(js)
 	s.open[svc] = append(s.open[svc], js)
-	if created > kv.Revision(s.Term) && js.arrivesWithinCap() {
+	if created > kv.Revision(s.Term) && js.arrivesWithinCap() && s.arrivesWithinShare(js, now) {
 		s.recordArrival(js, now)
 	}
 	s.checkCap(js)
@@ -333,17 +336,3 @@
 	}
 	return st
 }
-
-// Pending returns the number of open jobs of a queue of which no task is known to
-// have begun.
-func (s *State) Pending(queue string) int {
-	n := 0
-	for _, jobs := range s.open {
-		for _, js := range jobs {
-			if js.def.Queue == queue && !js.begun {
-				n++
-			}
-		}
-	}
-	return n
-}
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -24,3 +24,17 @@
 	}
 	return c
 }
+
+// Pending returns the number of open jobs of a queue of which no task is known to
+// have begun.
+func (s *State) Pending(queue string) int {
+	n := 0
+	for _, jobs := range s.open {
+		for _, js := range jobs {
+			if js.def.Queue == queue && !js.begun {
+				n++
+			}
+		}
+	}
+	return n
+}
