sched: keep shares and caps off the hot path without workspaces

Cause: the checks of caps and shares read fields far from those that ranking reads. Change: the account and the mark of a job lie beside its other fields; jobs without an account skip the calls; one tier replaces two comparisons.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -11,7 +11,6 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/quota"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
-	"gypsumtrestle.example/gypsumtrestle/internal/share"
 )
 
 // phase is the phase of a run.
@@ -139,10 +138,13 @@
 	// limits are those of the last configuration that had the workspace of the job, or
 	// those stored with the job; nil: it has no workspace.
 	limits     *job.WorkspaceLimits
+	account    *quota.Account // of its workspace; nil: it has none
 	created    kv.Revision
 	acceptedAt clock.BootTime // acceptance time
 	outcome    job.Outcome
 	cancelled  bool
+	beyond     bool // its workspace's share; see beyondShare
+	tooLarge   bool // a task of it exceeds the cap of its workspace on its own, which was logged
 	started    bool // a task was scheduled
 	// begun is set once a runner has confirmed a run. Callers count a job as
 	// waiting until then: a start may be lost with its runner.
@@ -164,10 +166,7 @@
 	closed                 clock.BootTime // when the outcome was set
 	withoutTasks           bool           // the progress is stored without tasks
 	storedTasks            map[job.Task]*job.TaskProgress
-	isolatedOn             *isolation     // nil: no suspect waits or is being tried
-	account                *quota.Account // of its workspace; nil: it has none
-	tag                    share.Tag      // its At is the time of acceptance until it is tagged
-	tooLarge               bool           // a task of it exceeds the cap on its own, which was logged
+	isolatedOn             *isolation // nil: no suspect waits or is being tried
 }
 
 func (js *jobState) open() bool { return js.outcome == job.Open && !js.cancelled }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -45,7 +45,7 @@
 		if full && !t.crashes.Suspect || !s.startable(t, now) {
 			continue
 		}
-		if capped(st) {
+		if t.job.account != nil && capped(st) {
 			break
 		}
 		rs := last
@@ -120,7 +120,7 @@
 	switch {
 	case t.step.spec.Rack != "" && rs.Rack == t.step.spec.Rack:
 		return "near its data"
-	case c.longRunning:
+	case c.tier == longRunningTier:
 		return "lasting"
 	case c.deadlineClass == timely:
 		return "in time"
@@ -200,7 +200,7 @@
 		return held
 	case sp.PerRunner > 0 && runsOfStep(rs, t) >= sp.PerRunner:
 		return stepLimit
-	case overCap(t):
+	case t.job.account != nil && overCap(t):
 		return aboveCap
 	case !s.permitted(rs, t.step, now):
 		return noPermit
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -12,8 +12,7 @@
 // candidate is an occurrence with tasks to start, and what it is ranked by.
 type candidate struct {
 	occ           *occurrence
-	longRunning   bool
-	beyondShare   bool // of its workspace; see beyondShare
+	tier          tier
 	priority      int
 	deadlineClass deadlineClass
 	coreSeconds   float64 // remaining work in core-seconds
@@ -28,7 +27,7 @@
 			if !s.hasStartable(o, maxFree, now) {
 				continue
 			}
-			c := candidate{occ: o, longRunning: js.def.LongRunning(), beyondShare: s.beyondShare(js, now)}
+			c := candidate{occ: o, tier: s.tier(js, now)}
 			chain, coreSeconds := o.remaining()
 			c.coreSeconds = coreSeconds
 			if js.terms != nil {
@@ -40,8 +39,7 @@
 	}
 	slices.SortStableFunc(cs, func(a, c candidate) int {
 		return cmp.Or(
-			-compareBool(a.longRunning, c.longRunning),
-			compareBool(a.beyondShare, c.beyondShare),
+			cmp.Compare(a.tier, c.tier),
 			cmp.Compare(a.priority, c.priority),
 			cmp.Compare(a.deadlineClass, c.deadlineClass),
 			cmp.Compare(a.coreSeconds, c.coreSeconds),
@@ -93,7 +91,7 @@
 // maxFree.
 func (s *State) hasStartable(o *occurrence, maxFree job.Resources, now clock.BootTime) bool {
 	for _, st := range o.steps {
-		if st.idle == 0 || !st.spec.Demand().Fits(maxFree) || !o.ready(st) || capped(st) {
+		if st.idle == 0 || !st.spec.Demand().Fits(maxFree) || !o.ready(st) || o.job.account != nil && capped(st) {
 			continue
 		}
 		for _, t := range st.tasks {
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -18,7 +18,13 @@
 // shares is what the state holds for the shares of workspaces.
 type shares struct {
 	lines    share.Lines
-	untagged []*jobState // in any order
+	untagged []untagged // in any order
+}
+
+// untagged is a job that has no tag yet.
+type untagged struct {
+	job        *jobState
+	acceptedAt clock.BootTime // as far as its share is concerned
 }
 
 // awaitTag records that a job needs a tag. The jobs of previous terms are read in no
@@ -27,27 +33,24 @@
 	if js.def.Workspace == "" || js.def.LongRunning() {
 		return
 	}
-	js.tag.At = js.acceptedAt
+	at := js.acceptedAt
 	if js.created > kv.Revision(s.Term) {
-		js.tag.At = max(js.acceptedAt, now.Add(-maxReadLag))
+		at = max(at, now.Add(-maxReadLag))
 	}
-	s.untagged = append(s.untagged, js)
+	s.untagged = append(s.untagged, untagged{job: js, acceptedAt: at})
 }
 
 // tagJobs gives tags to the jobs that need one, in the order of acceptance.
 func (s *State) tagJobs() {
-	if len(s.untagged) == 0 {
-		return
-	}
-	slices.SortFunc(s.untagged, func(a, b *jobState) int { return cmp.Compare(a.created, b.created) })
-	for _, js := range s.untagged {
-		weight := 0.0
+	slices.SortFunc(s.untagged, func(a, b untagged) int { return cmp.Compare(a.job.created, b.job.created) })
+	for _, u := range s.untagged {
+		js, weight := u.job, 0.0
 		if js.limits != nil {
 			weight = js.limits.Weight
 		}
-		js.tag = s.lines.Next(js.def.Workspace, js.tag.At, weight)
-		if js.tag.Beyond && js.open() {
-			s.Logger.Log("msg", "job beyond the share of its workspace", "job", js.def.ID, "workspace", js.def.Workspace, "weight", weight, "lead", js.tag.Lead, "rev", int64(js.created))
+		tag := s.lines.Next(js.def.Workspace, u.acceptedAt, weight)
+		if js.beyond = tag.Beyond; js.beyond && js.open() {
+			s.Logger.Log("msg", "job beyond the share of its workspace", "job", js.def.ID, "workspace", js.def.Workspace, "weight", weight, "lead", tag.Lead, "rev", int64(js.created))
 		}
 	}
 	clear(s.untagged)
@@ -58,8 +61,29 @@
 // after all jobs within theirs. Long-running jobs and jobs without a workspace never are.
 // A job keeps its place until it is done.
 func (s *State) beyondShare(js *jobState, _ clock.BootTime) bool {
-	s.tagJobs()
-	return js.tag.Beyond
+	if len(s.untagged) > 0 {
+		s.tagJobs()
+	}
+	return js.beyond
+}
+
+// tier is what candidates are ranked by first.
+type tier int8
+
+const (
+	longRunningTier tier = iota
+	withinShareTier
+	beyondShareTier
+)
+
+func (s *State) tier(js *jobState, now clock.BootTime) tier {
+	switch {
+	case js.def.LongRunning():
+		return longRunningTier
+	case s.beyondShare(js, now):
+		return beyondShareTier
+	}
+	return withinShareTier
 }
 
 // workspacesBeyondShare returns the workspaces of which a job that is accepted now would
