--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -101,7 +101,7 @@
 
 // planCaps prepares what a planning pass needs to know of caps.
 func (s *State) planCaps(full bool, now clock.BootTime) {
-	if s.ledger.Empty() {
+	if s.ledger.Empty() && s.lines.Len() == 0 {
 		return
 	}
 	if full || !s.previousCounted {
@@ -225,6 +225,7 @@
 	}
 	s.capsLoggedAt = now
 	s.ledger.Sweep()
+	s.sweepShares(now)
 	as := s.ledger.Accounts()
 	for _, a := range as[:min(len(as), maxCapLines)] {
 		used, runs := a.Used()
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -65,4 +65,11 @@
 // Package estimate learns how long tasks run, and package interference which images slow
 // each other down; see runtimes.go and interference.go for what is evidence and what uses
 // it. Neither is ever a reason not to start a task.
+//
+// # Workspaces
+//
+// What each workspace may have running counts in one ledger, which runs enter and leave
+// with the record of their runner; a start above the cap is an obstacle. Unknown runs of
+// previous leaders have an upper bound there. Run-to-completion jobs beyond the share of
+// their workspace come after all others. See packages quota and share.
 package sched
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -84,6 +84,7 @@
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
 	unplaced       map[*step]int               // the same and those that wait, when runners were last held
 	caps
+	shares
 	needs         map[string]longRunningNeed  // of pools in which long-running tasks have no run, at that time
 	heldAt        clock.BootTime              // when that was
 	standby       []*machineState             // see indexStandby
@@ -143,6 +144,7 @@
 // to their queue.
 func (s *State) Configure(c *job.Config) {
 	s.cfg = c
+	s.configureShares()
 	for _, js := range s.jobs {
 		s.configureJob(js, c)
 	}
@@ -229,6 +231,7 @@
 		}
 	}
 	s.openAccount(js)
+	s.awaitTag(js, now)
 	if s.cfg != nil {
 		js.configure(s.cfg)
 	}
@@ -248,7 +251,7 @@
 	}
 	svc := s.service(js)
 	s.open[svc] = append(s.open[svc], js)
-	if created > kv.Revision(s.Term) && js.arrivesWithinCap() {
+	if created > kv.Revision(s.Term) && js.arrivesWithinCap() && s.arrivesWithinShare(js, now) {
 		s.recordArrival(js, now)
 	}
 	s.checkCap(js)
