intake: bound what clients make a server of callers hold

A process of entry or serve read any number of bodies at a time, each with up to twice its size, accepted any number of connections and put no time limit on a body, so that clients that stop short of the end ended it. A body without room gets 503 with Retry-After and Connection: close. The limits follow from memory-mb and max-fds of the settings file, and from the new flags memory and connections of serve; metrics and a log line a second tell what was limited.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -1,9 +1,7 @@
 package caller
 
 import (
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +12,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/backend"
 	"gypsumtrestle.example/gypsumtrestle/internal/claim"
 	"gypsumtrestle.example/gypsumtrestle/internal/dispatch"
+	"gypsumtrestle.example/gypsumtrestle/internal/intake"
 	"gypsumtrestle.example/gypsumtrestle/pkg/text"
 )
 
@@ -63,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := s.body(r)
+	body, err := s.body(r, now)
 	if err != nil {
 		return nil, err
 	}
@@ -76,24 +75,28 @@
 	}, nil
 }
 
-func (s *Server) body(r *http.Request) ([]byte, error) {
-	if r.ContentLength > s.MaxBody {
+// body reads the body. The time that it waits for room and the time in which it
+// must arrive are bounded by ReadTimeout.
+func (s *Server) body(r *http.Request, now time.Time) (content []byte, err error) {
+	var deadline time.Time
+	if s.ReadTimeout > 0 {
+		deadline = now.Add(s.ReadTimeout)
+	}
+	b, err := intake.Read(r, s.MaxBody, deadline)
+	if err == nil {
+		err = b.Decode(r.Context(), deadline, func(b []byte) { content = b })
+	}
+	switch {
+	case err == nil:
+		return content, nil
+	case errors.Is(err, intake.ErrTooLong):
 		return nil, &badInput{status: http.StatusRequestEntityTooLarge, detail: "body: expected at most " + strconv.FormatInt(s.MaxBody, 10) + " bytes"}
-	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, s.MaxBody+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	case errors.Is(err, intake.ErrBusy):
+		return nil, &badInput{status: http.StatusServiceUnavailable, detail: "body: too many large bodies at a time"}
+	case errors.Is(err, intake.ErrSlow):
 		return nil, &badInput{status: http.StatusRequestTimeout, detail: "body: expected whole within " + s.ReadTimeout.String()}
 	}
-	if err != nil {
-		return nil, &badInput{status: http.StatusBadRequest, detail: "body: could not be read whole"}
-	}
-	if int64(len(body)) > s.MaxBody {
-		return nil, &badInput{status: http.StatusRequestEntityTooLarge, detail: "body: expected at most " + strconv.FormatInt(s.MaxBody, 10) + " bytes"}
-	}
-	return body, nil
+	return nil, &badInput{status: http.StatusBadRequest, detail: "body: could not be read whole"}
 }
 
 // isIdempotent reports whether a method is idempotent by RFC 9110, section
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -176,6 +176,9 @@
 	var bad *badInput
 	if errors.As(err, &bad) {
 		status = bad.status
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", "1")
+		}
 		if bad.neverRan {
 			outcome = backend.NotRun
 		}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/intake"
 )
 
 // Defaults and bounds of the settings.
@@ -22,7 +24,9 @@
 	// reads a second.
 	DefaultWrites = 12 // a second
 	DefaultReads  = 60 // a second
-	minSecret     = 16 // bytes
+	// DefaultMemory holds 42 bodies of DefaultMaxBody at a time.
+	DefaultMemory = 1024 // MB
+	minSecret     = 16   // bytes
 )
 
 // Config is the settings of an entry daemon.
@@ -45,6 +49,10 @@
 	// MaxBody and MaxHeader bound a caller's request in bytes.
 	MaxBody   int64
 	MaxHeader int
+	// Memory is the memory of the host in MB, from which the limits on callers'
+	// connections and bodies follow. Connections, if positive, replaces the limit
+	// on connections that follows from it and from the process's descriptors.
+	Memory, Connections int
 	// ReadTimeout bounds how long a caller may take to send a request.
 	ReadTimeout time.Duration
 	// Linger is how long the load balancer takes to notice that the daemon is not
@@ -79,6 +87,9 @@
 	if c.Reads == 0 {
 		c.Reads = DefaultReads
 	}
+	if c.Memory == 0 {
+		c.Memory = DefaultMemory
+	}
 	if c.ReadTimeout == 0 {
 		c.ReadTimeout = DefaultReadTimeout
 	}
@@ -112,6 +123,8 @@
 		return invalid("secret", "", "a secret of "+strconv.Itoa(minSecret)+" bytes or more when peer is not a loopback address")
 	case c.Writes < 0 || c.Reads < 0:
 		return invalid("writes, reads", strconv.Itoa(c.Writes)+", "+strconv.Itoa(c.Reads), "no negative value")
+	case c.Memory < 0 || c.Connections < 0:
+		return invalid("memory, connections", strconv.Itoa(c.Memory)+", "+strconv.Itoa(c.Connections), "no negative value")
 	case c.MaxBody < 0 || c.MaxHeader < 0 || c.ReadTimeout < 0 || c.Linger < 0 || c.StopTimeout < 0:
 		return invalid("maxbody, maxheader, read, linger, stop", "", "no negative value")
 	case c.Linger >= c.StopTimeout && c.StopTimeout > 0:
@@ -120,6 +133,16 @@
 	return nil
 }
 
+// limits returns the limits on callers.
+func (c *Config) limits() intake.Limits {
+	l := intake.LimitsFor(c.Memory, 0)
+	if c.Connections > 0 {
+		l.Connections = c.Connections
+	}
+	l.BodyBytes = max(l.BodyBytes, c.MaxBody)
+	return l
+}
+
 func (c *Config) platform() string {
 	if c.Platform == nil {
 		return ""
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,6 +20,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/etcd"
 	"gypsumtrestle.example/gypsumtrestle/internal/etcd/gateway"
 	"gypsumtrestle.example/gypsumtrestle/internal/fleet"
+	"gypsumtrestle.example/gypsumtrestle/internal/intake"
 	"gypsumtrestle.example/gypsumtrestle/internal/manager"
 	"gypsumtrestle.example/gypsumtrestle/internal/peer"
 	"gypsumtrestle.example/gypsumtrestle/internal/pool"
@@ -37,6 +39,10 @@
 // for writing the last responses.
 const stopMargin = time.Second
 
+// intakeVars counts what clients make the daemon hold, and for which limits
+// connections were closed and requests rejected.
+var intakeVars = expvar.NewMap("intake")
+
 // Daemon is one entry daemon.
 type Daemon struct {
 	cfg  Config
@@ -79,7 +85,7 @@
 	}
 	d := &Daemon{cfg: cfg, done: make(chan struct{})}
 	var lc net.ListenConfig
-	if d.callers, err = lc.Listen(ctx, "tcp", cfg.Caller.String()); err != nil {
+	if d.callers, err = intake.Listen(ctx, cfg.Caller); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
 	if d.peers, err = lc.Listen(ctx, "tcp", cfg.Peer.String()); err != nil {
@@ -181,6 +187,8 @@
 	parts := context.WithoutCancel(ctx)
 	platformRead := make(chan struct{}, 1)
 	callers := d.server.HTTP()
+	guard := intake.New(d.cfg.limits(), d.partLogger("caller"), intakeVars)
+	guard.Protect(callers)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", d.mesh)
 	peers := &http.Server{Handler: mux, ReadHeaderTimeout: d.cfg.ReadTimeout}
@@ -189,7 +197,7 @@
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return errors.Wrap(f(ctx), name) }, func(error) { cancel() })
 	}
-	d.serve(&g, callers, d.callers)
+	d.serve(&g, callers, guard.Listener(d.callers))
 	d.serve(&g, peers, d.peers)
 	add("mesh", d.mesh.Run)
 	add("follow", func(ctx context.Context) error { return d.watcher.Run(ctx, platformRead) })
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,6 +24,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/entry"
 	"gypsumtrestle.example/gypsumtrestle/internal/handover"
+	"gypsumtrestle.example/gypsumtrestle/internal/intake"
 	"gypsumtrestle.example/gypsumtrestle/internal/lead"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
 	"gypsumtrestle.example/gypsumtrestle/internal/metric"
@@ -65,6 +66,7 @@
 	jobs        *entry.JobWriter
 	leader      *lead.Leader
 	callerAPI   *platform.CallerAPI
+	intake      *intake.Guard
 	relays      *relay.Pool
 	relay       *relay.Worker
 	metrics     *metric.Set
@@ -125,6 +127,10 @@
 		},
 		Logger: log.With(logger, "part", "front"), Now: time.Now, Stopping: d.stopping.Load, Count: d.metrics.AddRequest,
 	}
+	d.intake = intake.New(intake.LimitsFor(s.MemoryMB, s.MaxFDs), log.With(logger, "part", "front"), nil)
+	d.metrics.Gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(d.intake.Status().Connections) })
+	d.metrics.Gauge("caller_body_bytes", "Bytes for which large request bodies have room.", func() float64 { return float64(d.intake.Status().BodyBytes) })
+	d.metrics.Counter("caller_limited_total", "Connections closed and requests rejected for a limit on callers.", func() float64 { return float64(d.intake.Status().Closed) })
 	d.metrics.Gauge("jobs_open", "Jobs that have not ended, at the leader.", func() float64 { return float64(d.leader.Stats().Open) })
 	d.metrics.Gauge("runs", "Runs on all runners, at the leader.", func() float64 { return float64(d.leader.Stats().Runs) })
 	d.metrics.Gauge("long_running_waiting", "Long-running tasks that have had no run for seconds, at the leader.", func() float64 { return float64(d.leader.Stats().Waiting) })
@@ -191,10 +197,13 @@
 		}
 		return err
 	}, func(error) { stepDown(); stop() })
-	callers := &http.Server{Handler: d.callerAPI.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	if err := d.serve(ctx, &g, "front", d.settings.Callers, callers); err != nil {
-		return err
+	callers := &http.Server{Handler: d.callerAPI.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	d.intake.Protect(callers)
+	l, err := intake.Listen(ctx, d.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for front")
 	}
+	d.serveOn(&g, "front", d.intake.Listener(l), callers)
 	if err := d.serve(ctx, &g, "ready", d.settings.Ready, &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
@@ -218,7 +227,7 @@
 		d.drain(context.WithoutCancel(c), callers, stepDown)
 		return nil
 	})
-	err := g.Run()
+	err = g.Run()
 	d.logger.Log("msg", "daemon stopped", "err", err)
 	if ctx.Err() != nil {
 		return nil
@@ -231,6 +240,9 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout is how long a caller's connection may stay idle.
 	idleTimeout = 15 * time.Second
+	// maxHeader is above the limit of the platform's contract, so that the handler
+	// can reject a request with a key of 64 KB.
+	maxHeader = 80 << 10
 )
 
 // serve adds an HTTP server to the group.
@@ -239,6 +251,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", part)
 	}
+	d.serveOn(g, part, l, s)
+	return nil
+}
+
+// serveOn adds an HTTP server with its listener to the group.
+func (d *Daemon) serveOn(g *run.Group, part string, l net.Listener, s *http.Server) {
 	g.Add(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve %s", part)
@@ -249,7 +267,6 @@
 			d.logger.Log("msg", "server close failed", "server", part, "err", err)
 		}
 	})
-	return nil
 }
 
 // drain stops the daemon without aborting requests: it steps down, waits until the
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -46,6 +46,12 @@
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gypsumtrestle_" + name, Help: help}, value))
 }
 
+// Counter adds a counter whose value is read when the metrics are scraped. It
+// panics if the name is already in use.
+func (s *Set) Counter(name, help string, value func() float64) {
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gypsumtrestle_" + name, Help: help}, value))
+}
+
 // Handler serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{DisableCompression: true})
