intake: keep newcomers and those whom a busy daemon has not read

Fresh requests now come last, and a connection is stalled only while a read or write waits and the kernel holds none of its bytes. The committed tests hold.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -61,7 +61,8 @@
 			return // closed connections release enough soon
 		}
 		v := g.pick(now, func(c *conn) bool {
-			return c.reserved > 0 && c.phase == client && now.Sub(c.stalledSince()) >= stallGrace
+			r, _ := c.rank(now)
+			return r == stalled && c.reserved > 0
 		})
 		if v == nil {
 			g.checkLater()
--- /dev/null
+++ b/internal/intake/busy_test.go
@@ -0,0 +1,52 @@
+package intake
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// TestBusyDaemon guards against closing the connections of clients that have sent
+// their requests because a busy daemon has not read or handled them yet.
+func TestBusyDaemon(t *testing.T) {
+	g := New(ample, log.NewNopLogger(), nil)
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var clients []net.Conn
+	var conns []*conn
+	for range 3 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients, conns = append(clients, c), append(conns, g.add(s))
+	}
+	defer func() {
+		for i := range clients {
+			_, _ = clients[i].Close(), conns[i].Close()
+		}
+	}()
+	unread, working, stopped := conns[0], conns[1], conns[2]
+	unread.blocked, stopped.blocked = 1, 1 // in Read; working is between two calls
+	if _, err := io.WriteString(clients[0], "POST"); err != nil {
+		t.Fatal(err)
+	}
+	for !unread.hasUnread() {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now().Add(time.Second)
+	if v := g.pick(now, func(*conn) bool { return true }); v != stopped {
+		t.Errorf("picked the connection with unread bytes %t, the one that is worked on %t", v == unread, v == working)
+	}
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase tells whom a connection waits for.
@@ -35,6 +38,9 @@
 	since time.Time // start of the request or of the wait
 	last  time.Time // when the last bytes arrived
 	bytes int64     // that arrived since then
+	// blocked is the number of calls of Read and Write in progress. Between them the
+	// daemon works, however slowly.
+	blocked int
 
 	inHeader bool
 	header   int64 // bytes beyond freeHeader of the header of the request
@@ -61,10 +67,35 @@
 	c.phase, c.since, c.last, c.bytes = p, now, now, 0
 }
 
+// hasUnread reports whether the kernel holds bytes of the client. It is false for
+// connections without a descriptor.
+func (c *conn) hasUnread() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }); err != nil {
+		return false // the connection is closed
+	}
+	return err == nil && n > 0
+}
+
 func (c *conn) Read(b []byte) (int, error) {
+	g := c.guard
+	g.mu.Lock()
+	c.blocked++
+	g.mu.Unlock()
 	n, err := c.Conn.Read(b)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.blocked--
 	if n > 0 {
-		c.guard.received(c, int64(n), time.Now())
+		g.received(c, int64(n), time.Now())
 	}
 	return n, err
 }
@@ -74,11 +105,13 @@
 	g := c.guard
 	g.mu.Lock()
 	before := c.phase
+	c.blocked++
 	c.restart(client, time.Now())
 	g.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.blocked--
 	c.restart(before, time.Now())
 	return n, err
 }
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -109,10 +109,8 @@
 	return c
 }
 
-// received notes that bytes of a client have arrived.
+// received notes that bytes of a client have arrived. The mutex must be held.
 func (g *Guard) received(c *conn, n int64, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if c.idle {
 		c.idle = false
 		c.restart(c.phase, now)
@@ -135,31 +133,52 @@
 	}
 }
 
+// rank is the order in which connections are closed at a limit.
+type rank int
+
+const (
+	stalled rank = iota // in the middle of a request, for stallGrace or more
+	idle
+	waiting // for room
+	recent  // in the middle of a request, for less
+	none
+)
+
+// rank returns the rank of a connection and since when it has been stalled.
+func (c *conn) rank(now time.Time) (rank, time.Time) {
+	at := c.stalledSince()
+	switch {
+	case c.phase == server:
+		return none, at
+	case c.phase == room:
+		return waiting, at
+	case c.idle:
+		return idle, at
+	case c.blocked > 0 && now.Sub(at) >= stallGrace:
+		return stalled, at
+	}
+	return recent, at
+}
+
 // pick returns the connection to close among those that pass the filter, or nil:
-// the one that has been stalled the longest. Requests that have been stalled for
-// stallGrace come before idle connections, and those before bodies that wait for
-// room. A connection that waits for the handler is never closed.
+// the one that has been stalled the longest of the first rank that there is. A
+// crowd whose bodies wait for room must not keep out a caller who has just
+// connected. A connection that waits for the handler is never closed.
 func (g *Guard) pick(now time.Time, among func(*conn) bool) *conn {
-	const none = 4
-	var victim *conn
-	best, earliest := none, time.Time{}
-	for _, c := range g.conns {
-		if c.phase == server || !among(c) {
-			continue
-		}
-		at := c.stalledSince()
-		rank := 1
-		switch {
-		case c.phase == room:
-			rank = 2
-		case !c.idle && now.Sub(at) >= stallGrace:
-			rank = 0
+	for {
+		var victim *conn
+		best, earliest := none, time.Time{}
+		for _, c := range g.conns {
+			if r, at := c.rank(now); r < none && (r < best || r == best && at.Before(earliest)) && among(c) {
+				victim, best, earliest = c, r, at
+			}
 		}
-		if rank < best || rank == best && at.Before(earliest) {
-			victim, best, earliest = c, rank, at
+		if best != stalled || !victim.hasUnread() {
+			return victim
 		}
+		// The client has sent more, which the daemon has not come to read.
+		victim.restart(victim.phase, now)
 	}
-	return victim
 }
 
 // evict closes a connection for a limit. The mutex must be held.
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -201,6 +201,24 @@
 	})
 }
 
+// TestNewcomersBeforeWaiting guards against closing callers who have just connected
+// while a crowd of bodies that wait for room keeps its connections.
+func TestNewcomersBeforeWaiting(t *testing.T) {
+	l := ample
+	l.Connections, l.BodyBytes = 3, 40<<10
+	serve(t, l, func(s *guarded) {
+		body := post("/hold", 40<<10, strings.Repeat("x", 40<<10))
+		s.dial(body) // takes all room
+		older, newer := s.dial(body), s.dial(body)
+		first := s.dial("POST / HT")
+		second := s.dial("POST / HT")
+		if !closed(older) || !closed(newer) || closed(first) || closed(second) {
+			t.Errorf("waiting closed %t, %t; newcomers closed %t, %t", closed(older), closed(newer), closed(first), closed(second))
+		}
+		close(s.hold)
+	})
+}
+
 // TestNoRoom guards against a body that waits without end for those that are being
 // handled, and against small bodies that wait for large ones.
 func TestNoRoom(t *testing.T) {
