interference: decide ties by name

Two images that were always beside a third one together have equal evidence, and the order of a map decided which of them became known, so that two replays of the same reports placed tasks differently. The same held for the evictions. Ties are now decided by name. TestEqualEvidence failed before the change.

--- a/internal/interference/image.go
+++ b/internal/interference/image.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"cmp"
 	"math"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
@@ -100,7 +101,10 @@
 	var least string
 	found := false
 	for by, p := range im.pairs {
-		if p.effect == 0 && (!found || p.aa < im.pairs[least].aa) {
+		if p.effect != 0 {
+			continue
+		}
+		if !found || cmp.Or(cmp.Compare(p.aa, im.pairs[least].aa), cmp.Compare(by, least)) < 0 {
 			least, found = by, true
 		}
 	}
@@ -126,12 +130,17 @@
 }
 
 // learn makes the pair with the most certain effect known. The observations up to then
-// are discarded, since the effect is contained in what other pairs show.
+// are discarded, since the effect is contained in what other pairs show. Of images that
+// were always beside this one together, with equal evidence, the first by name is chosen,
+// since the order of a map differs from run to run.
 func (im *image) learn(k key, now clock.BootTime) (c Change, ok bool) {
 	best := 0.0
 	for by, p := range im.pairs {
 		slope, deviation, fits := im.fit(p, now)
-		if !fits || p.effect != 0 || slope < max(minEffect, minErrors*deviation) || slope/deviation <= best {
+		if !fits || p.effect != 0 || slope < max(minEffect, minErrors*deviation) {
+			continue
+		}
+		if ok && cmp.Or(cmp.Compare(best, slope/deviation), cmp.Compare(by, c.By)) >= 0 {
 			continue
 		}
 		best, ok = slope/deviation, true
--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -105,3 +105,25 @@
 		t.Errorf("%d images, want at most %d with the one in use, and %d others beside it", len(tb.images), maxImages, maxBeside)
 	}
 }
+
+// TestEqualEvidence guards against decisions that depend on the order of a map: of two
+// images that were always beside a third one together, the same one must be named in each
+// run of a replay.
+func TestEqualEvidence(t *testing.T) {
+	for range 50 {
+		var tab Table
+		now := clock.BootTime(time.Second)
+		for i := range 40 {
+			now = now.Add(50 * time.Millisecond)
+			slow, beside := 1., []Neighbor(nil)
+			if i%2 == 0 {
+				slow, beside = 1.5, []Neighbor{{"c", 1}, {"b", 1}, {"d", 1}}
+			}
+			tab.Observe(RunTime, "a", slow, 1, beside, now)
+		}
+		changes := tab.Update(now)
+		if len(changes) != 1 || changes[0].By != "b" {
+			t.Fatalf("learned %+v, want the first of the equal images, b", changes)
+		}
+	}
+}
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -117,7 +117,7 @@
 		var oldest key
 		first := true
 		for k, im := range t.images {
-			if first || im.at < t.images[oldest].at {
+			if first || cmp.Or(cmp.Compare(im.at, t.images[oldest].at), cmp.Compare(k.image, oldest.image), cmp.Compare(k.kind, oldest.kind)) < 0 {
 				oldest, first = k, false
 			}
 		}
