sched: drop the progress of removed jobs

A job that was removed while its progress waited to be stored stayed in the list of progress to store, and TakeProgress looked it up among the jobs, which ended the leader's process with a nil dereference. No sequence of calls that the leader makes is known to get there: a job expires only once its progress is stored. RemoveExpired now drops it from the list. The new test panicked before.

--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -133,7 +133,8 @@
 	return expired
 }
 
-// RemoveExpired removes jobs that the store no longer holds.
+// RemoveExpired removes jobs that the store no longer holds. Their progress is not stored
+// again.
 func (s *State) RemoveExpired(expired []ExpiredJob) {
 	removed := make(map[*jobState]bool, len(expired))
 	for _, e := range expired {
@@ -143,5 +144,6 @@
 			s.ledger.Release(js.account)
 		}
 	}
+	s.dirty = slices.DeleteFunc(s.dirty, func(js *jobState) bool { return removed[js] })
 	s.closed = slices.DeleteFunc(s.closed, func(js *jobState) bool { return removed[js] })
 }
--- a/internal/sched/flush_test.go
+++ b/internal/sched/flush_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 )
@@ -56,3 +57,17 @@
 		}
 	}
 }
+
+// TestExpiredJobLeavesProgress guards against a crash of the leader, and progress that is
+// stored for a deleted job, if a job is removed while its progress waits to be stored.
+func TestExpiredJobLeavesProgress(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(capConfig(1000))
+	f.jobOf("w", "work", "pool", 1, job.Step{Count: 1, Resources: job.Resources{CPU: 1000}, Estimate: time.Second})
+	id := job.ID("0000000000000001")
+	f.s.CancelJob(id, f.now)
+	f.s.RemoveExpired([]ExpiredJob{{ID: id, Created: 100}})
+	if rows := f.s.TakeProgress(1, 10); len(rows) > 0 {
+		t.Errorf("progress of %d removed jobs taken, want none", len(rows))
+	}
+}
