sched: exclude tasks above the cap from demand

What is free below a cap is divided among the waiting tasks of the workspace in proportion. Tasks that exceed the cap on their own, and gangs that do so together, took part although they never start: beside 100 of them, 1 of 8 other tasks counted as demand of its pool, which got no machines for the rest. They are now counted as held only. TestTooLargeTasksLeaveDemand fails without this.

--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -175,7 +175,15 @@
 			}
 			for _, o := range js.occs {
 				for _, st := range o.steps {
-					if st.idle > 0 && o.ready(st) {
+					if st.idle == 0 || !o.ready(st) {
+						continue
+					}
+					if a.TooLarge(st.spec.Resources, together(st.spec)) {
+						// It never starts and must not take a part of what is free.
+						byAccount[a].Tasks += st.idle
+						byAccount[a].Held += st.idle
+						st.startable = 0
+					} else {
 						s.addWaitingWork(byAccount[a], st, now)
 						steps[a] = append(steps[a], st)
 					}
--- a/internal/sched/caps_test.go
+++ b/internal/sched/caps_test.go
@@ -93,3 +93,21 @@
 		}
 	}
 }
+
+// TestTooLargeTasksLeaveDemand guards against a job that can never start below the cap and
+// takes from the demand of the other work of its workspace, which the cap allows to start.
+func TestTooLargeTasksLeaveDemand(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(capConfig(10000))
+	f.runner("a")
+	f.jobOf("w", "work", "pool", 1, job.Step{Count: 100, Resources: job.Resources{CPU: 12000, Mem: 1}, Estimate: time.Second})
+	f.jobOf("w", "surge", "idle", 2, job.Step{Count: 8, Resources: job.Resources{CPU: 1000, Mem: 1}, Estimate: time.Second})
+	f.plan()
+	st := f.s.jobs["0000000000000002"].occs[0].steps[0]
+	if st.startable != 8 {
+		t.Errorf("%d of 8 tasks count as demand of their pool, want all", st.startable)
+	}
+	if d := st.occ.job.account.Demand(); d.Held != 100 || d.Tasks != 108 {
+		t.Errorf("%d of %d waiting tasks are held, want 100 of 108", d.Held, d.Tasks)
+	}
+}
