lead: release the key after an interrupted roster write

A stopping leader stores its roster on condition of the revision that it knows. If the end of the term interrupted a roster write that was carried out, this conflicted; the roster for the next leader was not stored, which then waited for the runners of the older one. Until the records got loops of their own, the last flush read the revision. The conflict now gives it.

--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -115,11 +115,10 @@
 		t.mu.Unlock()
 		var b []byte
 		b, err = cbor.Marshal(entries)
-		release.Conds = []kv.Cond{{Key: job.RosterKey, Rev: t.rosterRev}}
 		release.Writes = []kv.Write{{Key: job.RosterKey, Value: b}}
 	}
 	if err == nil {
-		_, err = t.commit(ctx, release)
+		err = t.release(ctx, release)
 	}
 	if err != nil {
 		t.logger.Log("msg", "roster write failed at the end of the term", "loaded", t.loaded, "err", err)
@@ -129,6 +128,25 @@
 	}
 }
 
+// release commits the transaction that releases the leader key. If the end of the term
+// interrupted a write of the roster that was carried out, the first attempt finds its
+// revision.
+func (t *term) release(ctx context.Context, txn kv.Txn) error {
+	if !t.loaded {
+		_, err := t.commit(ctx, txn)
+		return err
+	}
+	for again := true; ; again = false {
+		txn.Conds = []kv.Cond{{Key: job.RosterKey, Rev: t.rosterRev}}
+		_, err := t.commit(ctx, txn)
+		var conflict *kv.Conflict
+		if !again || !errors.As(err, &conflict) {
+			return err
+		}
+		t.rosterRev = conflict.Find(job.RosterKey).Rev
+	}
+}
+
 // renew extends the lease until the term ends.
 func (t *term) renew(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/lead/term_test.go
+++ b/internal/lead/term_test.go
@@ -132,3 +132,38 @@
 		<-l.Done()
 	}
 }
+
+// TestStepDownAfterLostRoster guards against a stopping leader that keeps its key and
+// leaves the next leader an old roster, whose runners that one would have to wait for,
+// because a write of the roster had no reply before the end of the term.
+func TestStepDownAfterLostRoster(t *testing.T) {
+	s := &lossyStore{Store: &store.Store{}}
+	tm := newTestTerm(t, s)
+	tm.pollerCount, tm.loaded = new(atomic.Int64), true
+	var err error
+	if tm.lease, _, err = s.Grant(t.Context(), time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if err := tm.storeRoster(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	tm.state.RosterUnknown()
+	s.lose = true
+	if err := tm.storeRoster(t.Context()); !errors.Is(err, kv.ErrUnknown) {
+		t.Fatalf("roster write: %v, want no reply", err)
+	}
+	s.lose = false
+	before, err := s.Get(t.Context(), job.RosterKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	tm.stepDown(ctx)
+	if it, err := s.Get(t.Context(), job.RosterKey); err != nil || it.Rev <= before.Rev {
+		t.Errorf("roster at revision %d (%v) after the end of the term, want one after %d", it.Rev, err, before.Rev)
+	}
+	if _, err := s.Get(t.Context(), job.LeaderKey); !errors.Is(err, kv.ErrNotFound) {
+		t.Errorf("leader key after the end of the term: %v, want none", err)
+	}
+}
