overload, sched: view of the pools' load and the decision of a daemon

Jobs were accepted in surges and completed after any caller had given up. The leader can now compute what its pools can do, what waits and what arrives, and a daemon can decide by it.

--- /dev/null
+++ b/internal/overload/view.go
@@ -0,0 +1,144 @@
+package overload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Rank is the order in which a pool starts the jobs without long-running tasks; the
+// order within a rank is that of their deadlines and remaining work.
+type Rank struct {
+	Beyond   bool // beyond the share of its workspace
+	Priority int  // of its queue; 0 is the highest
+}
+
+// Compare returns a negative number if work of rank r is started before that of o.
+func (r Rank) Compare(o Rank) int {
+	switch {
+	case r.Beyond == o.Beyond:
+		return cmp.Compare(r.Priority, o.Priority)
+	case o.Beyond:
+		return -1
+	}
+	return 1
+}
+
+// View is the load of the pools at one time.
+type View struct {
+	Term int64 `cbor:"1,keyasint"` // of the leader that computed it
+	// Age is the time from the computation to the reply that carries the view.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
+	// Pools are those in which jobs wait, ordered by name.
+	Pools []Pool `cbor:"3,keyasint,omitempty"`
+	// Beyond are workspaces that have sent more than their share, ordered by name.
+	Beyond []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Pool is the load of one pool. Cores are those that jobs without long-running tasks
+// can use, and work is in core-seconds.
+type Pool struct {
+	Name     string    `cbor:"1,keyasint"`
+	Cores    float64   `cbor:"2,keyasint,omitempty"` // that a full pool uses on average
+	Idle     float64   `cbor:"3,keyasint,omitempty"` // free cores
+	Arriving []Arrival `cbor:"4,keyasint,omitempty"` // machines on their way, the earliest first
+	Classes  []Class   `cbor:"5,keyasint,omitempty"` // ordered by rank
+}
+
+// Arrival is capacity that a pool gets.
+type Arrival struct {
+	Cores float64       `cbor:"1,keyasint"`
+	After time.Duration `cbor:"2,keyasint,omitempty"` // from the computation of the view
+}
+
+// Class is the waiting work of one rank, which is that of the tasks without a run.
+// Work that no caller waits for any more is left out, since it is started last.
+type Class struct {
+	Beyond   bool    `cbor:"1,keyasint,omitempty"`
+	Priority int     `cbor:"2,keyasint,omitempty"`
+	Ready    float64 `cbor:"3,keyasint,omitempty"` // cores of the tasks that wait for nothing but capacity
+	Timely   float64 `cbor:"4,keyasint,omitempty"` // work of jobs that can meet their objective
+	Late     float64 `cbor:"5,keyasint,omitempty"` // work of the others
+	// Left is the shortest time in which a waiting job must be started so that it is
+	// completed before it loses its value; zero: no job waits.
+	Left time.Duration `cbor:"6,keyasint,omitempty"`
+	Rate float64       `cbor:"7,keyasint,omitempty"` // work that arrives per second, of all daemons
+	Size float64       `cbor:"8,keyasint,omitempty"` // mean work of a job
+}
+
+// Rank returns the rank of the class.
+func (c *Class) Rank() Rank { return Rank{Beyond: c.Beyond, Priority: c.Priority} }
+
+// Waiting is the part of an open job that waits in a pool.
+type Waiting struct {
+	Rank  Rank
+	Ready float64 // as in Class
+	Work  float64 // of the tasks without a run
+	Late  bool    // the job cannot meet its objective
+	// Left is the time in which it must be started so that it is completed before it
+	// loses its value; zero: not limited, or something else than capacity delays it.
+	Left time.Duration
+}
+
+// Add adds the waiting part of a job.
+func (p *Pool) Add(w Waiting) {
+	c := p.class(w.Rank)
+	c.Ready += w.Ready
+	if w.Late {
+		c.Late += w.Work
+	} else {
+		c.Timely += w.Work
+	}
+	if w.Left > 0 && (c.Left == 0 || w.Left < c.Left) {
+		c.Left = w.Left
+	}
+}
+
+// SetArrivals sets the rate at which work of a rank arrives, and its mean size.
+func (p *Pool) SetArrivals(r Rank, rate, size float64) {
+	c := p.class(r)
+	c.Rate, c.Size = rate, size
+}
+
+// Waits reports whether work waits in the pool.
+func (p *Pool) Waits() bool {
+	return slices.ContainsFunc(p.Classes, func(c Class) bool { return c.Timely+c.Late > 0 })
+}
+
+func (p *Pool) class(r Rank) *Class {
+	i, ok := slices.BinarySearchFunc(p.Classes, r, func(c Class, r Rank) int { return c.Rank().Compare(r) })
+	if !ok {
+		p.Classes = slices.Insert(p.Classes, i, Class{Beyond: r.Beyond, Priority: r.Priority})
+	}
+	return &p.Classes[i]
+}
+
+// pool returns a pool by its name, or nil.
+func (v *View) pool(name string) *Pool {
+	i := slices.IndexFunc(v.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &v.Pools[i]
+}
+
+// never is the time in which a pool does work that it never gets to.
+const never = time.Hour
+
+// clears returns the time from now in which the pool does the given work while work
+// of higher rank takes the given cores; age is that of the view.
+func (p *Pool) clears(work, taken float64, age time.Duration) time.Duration {
+	at, rate := 0.0, p.Cores-taken
+	for _, a := range p.Arriving {
+		in := max(a.After-age, 0).Seconds()
+		if rate > 0 && work <= rate*(in-at) {
+			break
+		}
+		work -= max(rate, 0) * (in - at)
+		at, rate = in, rate+a.Cores
+	}
+	if rate <= 0 || at+work/rate > never.Seconds() {
+		return never
+	}
+	return time.Duration((at + work/rate) * float64(time.Second))
+}
--- a/internal/sched/arrival.go
+++ b/internal/sched/arrival.go
@@ -36,6 +36,7 @@
 	}
 	svc := s.service(js)
 	s.arrivals[svc] = s.arrivals[svc].add(js.total, now)
+	s.recordRankArrival(js, now)
 }
 
 // decay updates the averages to now.
--- /dev/null
+++ b/internal/sched/load.go
@@ -0,0 +1,189 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/clock"
+	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/overload"
+)
+
+const (
+	// loadDelay is how long a term serves no load: until then it may not have reached
+	// all runners, and has no rate of arrivals.
+	loadDelay = 2 * time.Second
+	// arrivalStep is the interval to which the times of arriving machines are rounded
+	// up, which bounds their number in a view.
+	arrivalStep = 500 * time.Millisecond
+	// maxLoadClasses and maxLoadWorkspaces bound a view, which is sent to all daemons.
+	maxLoadClasses    = 200
+	maxLoadWorkspaces = 200
+)
+
+// loadRank is a rank of work in a pool.
+type loadRank struct {
+	pool string
+	rank overload.Rank
+}
+
+// rankOf returns the rank of a job.
+func (s *State) rankOf(js *jobState, now clock.BootTime) overload.Rank {
+	r := overload.Rank{Beyond: s.beyondShare(js, now)}
+	if js.terms != nil {
+		r.Priority = js.terms.Priority
+	}
+	return r
+}
+
+// recordRankArrival counts a new job of a pool by its rank.
+func (s *State) recordRankArrival(js *jobState, now clock.BootTime) {
+	k := loadRank{s.service(js), s.rankOf(js, now)}
+	s.rankArrivals[k] = s.rankArrivals[k].add(js.total, now)
+}
+
+// Load returns the load of the pools in which jobs wait, or nil if it is not known: at
+// the start of a term, or if the input is not current.
+func (s *State) Load(now clock.BootTime) *overload.View {
+	if s.cfg == nil || now.Sub(s.startedAt) < loadDelay || now.Sub(s.inputCurrentAt) > maxInputAge {
+		return nil
+	}
+	v := &overload.View{Term: int64(s.Term), Beyond: s.workspacesBeyondShare(now)}
+	if len(v.Beyond) > maxLoadWorkspaces {
+		v.Beyond = v.Beyond[:maxLoadWorkspaces]
+	}
+	classes := 0
+	for name, jobs := range s.open {
+		if len(jobs) == 0 || s.cfg.Services[name] == nil {
+			continue
+		}
+		p := overload.Pool{Name: name}
+		demand := s.addLoad(&p, jobs, now)
+		if !p.Waits() {
+			continue
+		}
+		s.addCapacity(&p, demand, now)
+		v.Pools = append(v.Pools, p)
+	}
+	for k, a := range s.rankArrivals {
+		i := slices.IndexFunc(v.Pools, func(p overload.Pool) bool { return p.Name == k.pool })
+		if i < 0 {
+			continue
+		}
+		if rate := a.recentLoad(now); rate > minRate {
+			v.Pools[i].SetArrivals(k.rank, rate, a.size)
+		}
+	}
+	for i := range v.Pools {
+		classes += len(v.Pools[i].Classes)
+	}
+	if classes > maxLoadClasses {
+		return nil
+	}
+	s.addArriving(v, now)
+	slices.SortFunc(v.Pools, func(a, b overload.Pool) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+// minRate is the rate in core-seconds per second from which arrivals are in a view.
+const minRate = 0.01
+
+// recentLoad returns the work that arrives per second. After a rise the average over the
+// short window shows more of it than that over the long one.
+func (a arrival) recentLoad(now clock.BootTime) float64 {
+	a = a.decay(now)
+	return a.size * max(a.short, (a.short+a.long)/2)
+}
+
+// addLoad adds the waiting work of jobs to a pool, and returns the demand of the
+// waiting tasks.
+func (s *State) addLoad(p *overload.Pool, jobs []*jobState, now clock.BootTime) (demand job.Resources) {
+	unlimited := job.Resources{CPU: math.MaxInt, Mem: math.MaxInt, GPU: math.MaxInt}
+	for _, js := range jobs {
+		if js.def.LongRunning() {
+			continue
+		}
+		for _, o := range js.occs {
+			chain, _ := o.remaining()
+			class := s.deadlineClass(js, chain, now)
+			w := overload.Waiting{Rank: s.rankOf(js, now), Late: class == late}
+			for _, st := range o.steps {
+				if st.idle == 0 || st.spec.BestEffort {
+					continue
+				}
+				cores := float64(st.idle*st.spec.Resources.CPU) / 1000
+				w.Work += cores * st.spec.Estimate.Seconds()
+				demand.CPU += st.idle * st.spec.Resources.CPU
+				demand.Mem += st.idle * st.spec.Resources.Mem
+				if o.ready(st) {
+					w.Ready += cores
+				}
+			}
+			if w.Work == 0 || class == longOverdue {
+				continue
+			}
+			if js.terms != nil && s.hasStartable(o, unlimited, now) {
+				w.Left = max(overload.Left(js.terms.Objective(js.chain), now.Sub(js.acceptedAt), chain), 0)
+			}
+			p.Add(w)
+		}
+	}
+	return demand
+}
+
+// addCapacity adds to a pool what its runners can do for batch tasks, given the demand
+// of those that wait. Memory counts as the cores of the tasks that it holds.
+func (s *State) addCapacity(p *overload.Pool, demand job.Resources, now clock.BootTime) {
+	cores := func(r job.Resources) float64 {
+		c := float64(r.CPU)
+		if demand.Mem > 0 {
+			c = min(c, float64(r.Mem)*float64(demand.CPU)/float64(demand.Mem))
+		}
+		return max(c, 0) / 1000
+	}
+	for _, rs := range s.usableRunners(p.Name, now) {
+		if rs.heldUntil.After(now) || !rs.takesRuns(now) {
+			continue
+		}
+		total := rs.Capacity
+		for t := range rs.keptFor {
+			total = total.Sub(t.step.spec.Demand())
+		}
+		if rs.longRunning > 0 {
+			for _, r := range rs.runs {
+				if r.task.step.spec.LongRunning {
+					total = total.Sub(r.demand)
+				}
+			}
+		}
+		p.Cores += cores(total) * fillShare
+		p.Idle += cores(rs.free())
+	}
+}
+
+// addArriving adds the machines that are on their way to the pools of a view. One that
+// has not left yet counts as if it left now.
+func (s *State) addArriving(v *overload.View, now clock.BootTime) {
+	for _, ms := range s.machineStates {
+		i := -1
+		if ms.movingTo != "" {
+			i = slices.IndexFunc(v.Pools, func(p overload.Pool) bool { return p.Name == ms.movingTo })
+		}
+		if i < 0 {
+			continue
+		}
+		after := s.Limits.MoveTime + joinDelay
+		if ms.sent {
+			after = max(after-now.Sub(ms.since), 0)
+		}
+		after = (after + arrivalStep - 1) / arrivalStep * arrivalStep
+		p := &v.Pools[i]
+		k, ok := slices.BinarySearchFunc(p.Arriving, after, func(a overload.Arrival, d time.Duration) int { return cmp.Compare(a.After, d) })
+		if !ok {
+			p.Arriving = slices.Insert(p.Arriving, k, overload.Arrival{After: after})
+		}
+		p.Arriving[k].Cores += float64(ms.Capacity.CPU) / 1000 * fillShare
+	}
+}
