entry, lead, query: reject submissions that an overloaded pool cannot complete

A daemon keeps the leader's newest view of the load while submissions arrive and answers 429 before it stores a job that no plan can finish in time. Before that a transaction shows that the job is not stored.

--- a/cmd/gypsumtrestle/entry.go
+++ b/cmd/gypsumtrestle/entry.go
@@ -26,8 +26,9 @@
 	Settings string         `help:"Settings file of the platform." env:"GYPSUMTRESTLE_NODE_FILE" required:"" type:"path" placeholder:"FILE"`
 	Metrics  netip.AddrPort `help:"Address that serves metrics." default:"0.0.0.0:9464" placeholder:"IP:PORT"`
 	// For 49 runners, the calls of the leader use a tenth of a processor.
-	Relays int  `help:"Number of runners above which the leader reaches them through the other daemons." default:"100" placeholder:"N"`
-	Check  bool `help:"Check the settings and exit."`
+	Relays    int    `help:"Number of runners above which the leader reaches them through the other daemons." default:"100" placeholder:"N"`
+	Admission string `help:"Whether jobs that an overloaded pool cannot complete in time are rejected, on or off." enum:"on,off" default:"on" placeholder:"on|off"`
+	Check     bool   `help:"Check the settings and exit."`
 }
 
 // Run runs a daemon on the users' platform until the process receives a stop
@@ -51,5 +52,5 @@
 	w := oplog.NewWriter(os.Stdout)
 	defer w.Close()
 	logger := log.With(log.NewLogfmtLogger(w), "at", log.DefaultTimestampUTC, "host", settings.Name)
-	return host.New(settings, c.Metrics, c.Relays, logger).Run(ctx, c.Settings, hangups)
+	return host.New(settings, c.Metrics, c.Relays, c.Admission == "on", logger).Run(ctx, c.Settings, hangups)
 }
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -6,6 +6,9 @@
 // stored by this attempt. If this cannot be determined before the caller's
 // deadline, the outcome is unknown, and the caller must submit the same job again.
 //
+// A submission that its pool cannot complete in time is rejected before it is stored,
+// by the leader's view of the load; see Admission. A job that is already stored is not.
+//
 // The state of a job is that of the leader, or that of the store if the leader
 // cannot be queried. A job is reported as nonexistent only if it is not in the
 // store.
--- a/internal/entry/job_writer.go
+++ b/internal/entry/job_writer.go
@@ -18,12 +18,15 @@
 
 // Verdicts.
 const (
-	Accepted Verdict = iota
-	Rejected         // the job is not stored, and this attempt will not store it
-	Unknown          // the job may be stored, now or later
+	Accepted   Verdict = iota
+	Rejected           // the job is not stored, and this attempt will not store it
+	Unknown            // the job may be stored, now or later
+	Overloaded         // as Rejected; its pool cannot complete it in time
 )
 
-func (v Verdict) String() string { return [...]string{"accepted", "refused", "unknown"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"accepted", "refused", "unknown", "overloaded"}[v]
+}
 
 const (
 	// maxBatch bounds the jobs of one transaction. Each job takes a condition and
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -24,6 +24,7 @@
 	Jobs          *JobWriter
 	Leader        *lead.Leader
 	QueryClient   *query.Client
+	Admission     *Admission // nil: no job is rejected because of the load
 	Logger        log.Logger
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -63,6 +63,7 @@
 	logger      log.Logger
 	config      *entry.ConfigWatcher
 	jobs        *entry.JobWriter
+	admission   *entry.Admission // nil: off
 	leader      *lead.Leader
 	callerAPI   *platform.CallerAPI
 	relays      *relay.Pool
@@ -75,8 +76,9 @@
 
 // New returns a daemon that is not running yet. As the leader it calls the runners
 // itself if there are at most directLimit of them, and otherwise through the other
-// daemons.
-func New(s *platform.Settings, metricsAddr netip.AddrPort, directLimit int, logger log.Logger) *Daemon {
+// daemons. With admission, jobs that an overloaded pool cannot complete in time are
+// rejected.
+func New(s *platform.Settings, metricsAddr netip.AddrPort, directLimit int, admission bool, logger log.Logger) *Daemon {
 	d := &Daemon{settings: s, logger: logger, metrics: metric.New(), metricsAddr: metricsAddr, incarnation: uuid.NewString()}
 	store := platform.NewStore(s.Store)
 	d.config = &entry.ConfigWatcher{
@@ -118,9 +120,14 @@
 		Name: s.Name, Incarnation: d.incarnation, Zone: s.Zone, RelativeCapacity: relativeCapacity, Leader: d.leader.RemoteLeader, Runners: runners,
 		Logger: log.With(logger, "part", "relay"),
 	}
+	queries := &query.Client{}
+	if admission {
+		d.admission = entry.NewAdmission(d.leader, queries, log.With(logger, "part", "admission"))
+		d.admission.Count = d.metrics.AddRejection
+	}
 	d.callerAPI = &platform.CallerAPI{
 		Entry: &entry.Entry{
-			Store: store, ConfigWatcher: d.config, Jobs: d.jobs, Leader: d.leader, QueryClient: &query.Client{},
+			Store: store, ConfigWatcher: d.config, Jobs: d.jobs, Leader: d.leader, QueryClient: queries, Admission: d.admission,
 			Logger: log.With(logger, "part", "entry"),
 		},
 		Logger: log.With(logger, "part", "front"), Now: time.Now, Stopping: d.stopping.Load, Count: d.metrics.AddRequest,
@@ -182,6 +189,9 @@
 	add(d.config.Run)
 	add(d.relay.Run)
 	add(d.jobs.Run)
+	if d.admission != nil {
+		add(d.admission.Run)
+	}
 	leading, stepDown := context.WithCancel(serving)
 	g.Add(func() error {
 		err := d.leader.Run(leading)
--- a/internal/host/recorded_test.go
+++ b/internal/host/recorded_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/metric"
 	"gypsumtrestle.example/gypsumtrestle/internal/recorded"
 	"gypsumtrestle.example/gypsumtrestle/platform"
 )
@@ -15,9 +16,15 @@
 // TestRecorded guards against renamed metrics, which operators' dashboards would
 // not find.
 func TestRecorded(t *testing.T) {
-	d := New(recorded.New[*platform.Settings](), netip.AddrPort{}, 1, log.NewNopLogger())
+	d := New(recorded.New[*platform.Settings](), netip.AddrPort{}, 1, true, log.NewNopLogger())
 	d.metrics.AddRequest("state", 200, 30*time.Millisecond)
 	w := httptest.NewRecorder()
 	d.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	recorded.Open(t, "recorded.txt").Check("metrics", w.Body.Bytes())
+	f := recorded.Open(t, "recorded.txt")
+	f.Check("metrics", w.Body.Bytes())
+	rejections := metric.New()
+	rejections.AddRejection("q", "backlog")
+	w = httptest.NewRecorder()
+	rejections.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	f.Check("rejections", w.Body.Bytes())
 }
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -37,6 +37,7 @@
 
 	mu          sync.Mutex
 	state       *sched.State
+	poolLoad    poolLoad
 	pollers     map[runner.ID]chan struct{} // each wakes up the poller of a runner
 	pollerCount *atomic.Int64               // number of pollers; the Leader's polledRunners
 	wg          sync.WaitGroup
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -16,6 +16,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	rejected *prometheus.CounterVec
 }
 
 // New returns a Set without gauges.
@@ -29,8 +30,11 @@
 			Name: "gypsumtrestle_request_seconds", Help: "Time to answer a request by kind.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 		}, []string{"kind"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumtrestle_jobs_rejected_total", Help: "Jobs rejected because of the load, by queue and reason.",
+		}, []string{"queue", "reason"}),
 	}
-	s.registry.MustRegister(s.requests, s.latency)
+	s.registry.MustRegister(s.requests, s.latency, s.rejected)
 	return s
 }
 
@@ -40,6 +44,11 @@
 	s.latency.WithLabelValues(kind).Observe(took.Seconds())
 }
 
+// AddRejection counts a job that was rejected because of the load.
+func (s *Set) AddRejection(queue, reason string) {
+	s.rejected.WithLabelValues(queue, reason).Inc()
+}
+
 // Gauge adds a gauge whose value is read when the metrics are scraped. It panics
 // if the name is already in use.
 func (s *Set) Gauge(name, help string, value func() float64) {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,5 +1,5 @@
-// Package query sends queries between daemons: for the state of a job, and for
-// the number of jobs of a queue that have not started. Queries are sent over a
+// Package query sends queries between daemons: for the state of a job, for the
+// number of jobs of a queue that have not started, and for the load of the pools. Queries are sent over a
 // WebSocket connection as CBOR, and replies may arrive in any order.
 //
 // The queried daemon replies with a result only while it leads. If it does not,
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/overload"
 	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 )
 
@@ -30,8 +31,9 @@
 	// replyTimeout bounds a query, from dialing to the reply, and the write of
 	// a reply. A reply takes milliseconds.
 	replyTimeout = 250 * time.Millisecond
-	// maxMessage bounds a message in bytes.
+	// maxMessage bounds a query in bytes, and maxReply a reply.
 	maxMessage = 4 << 10
+	maxReply   = 64 << 10
 )
 
 // ErrNotLeader is returned if the queried daemon is not the leader.
@@ -41,15 +43,18 @@
 	Seq   uint64 `cbor:"1,keyasint"`
 	Job   job.ID `cbor:"2,keyasint,omitempty"`
 	Queue string `cbor:"3,keyasint,omitempty"`
+	// Load asks for the load of the pools. Earlier versions reply without one.
+	Load bool `cbor:"4,keyasint,omitempty"`
 }
 
 type reply struct {
-	Seq     uint64      `cbor:"1,keyasint"`
-	Leading bool        `cbor:"2,keyasint,omitempty"`
-	Found   bool        `cbor:"3,keyasint,omitempty"`
-	Started bool        `cbor:"4,keyasint,omitempty"`
-	Outcome job.Outcome `cbor:"5,keyasint,omitempty"`
-	Count   int         `cbor:"6,keyasint,omitempty"`
+	Seq     uint64         `cbor:"1,keyasint"`
+	Leading bool           `cbor:"2,keyasint,omitempty"`
+	Found   bool           `cbor:"3,keyasint,omitempty"`
+	Started bool           `cbor:"4,keyasint,omitempty"`
+	Outcome job.Outcome    `cbor:"5,keyasint,omitempty"`
+	Count   int            `cbor:"6,keyasint,omitempty"`
+	Load    *overload.View `cbor:"7,keyasint,omitempty"` // nil: not known
 }
 
 // Source returns the results of queries. The bool results report whether this
@@ -57,6 +62,7 @@
 type Source interface {
 	Query(id job.ID) (sched.Status, bool)
 	Pending(queue string) (int, bool)
+	Load() (*overload.View, bool)
 }
 
 // Handler accepts connections and replies to queries from a source.
@@ -97,6 +103,10 @@
 
 func handle(q *query, s Source) reply {
 	r := reply{Seq: q.Seq}
+	if q.Load {
+		r.Load, r.Leading = s.Load()
+		return r
+	}
 	if q.Job != "" {
 		st, ok := s.Query(q.Job)
 		r.Leading, r.Found, r.Started, r.Outcome = ok, st.Found, st.Started, st.Outcome
@@ -134,6 +144,12 @@
 	return r.Count, err
 }
 
+// Load returns the load of the pools, or nil if the leader does not know it.
+func (c *Client) Load(ctx context.Context, to netip.AddrPort) (*overload.View, error) {
+	r, err := c.roundTrip(ctx, to, query{Load: true})
+	return r.Load, err
+}
+
 func (c *Client) roundTrip(ctx context.Context, to netip.AddrPort, q query) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
@@ -167,7 +183,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", to)
 	}
-	ws.SetReadLimit(maxMessage)
+	ws.SetReadLimit(maxReply)
 	c.to, c.link = to, &link{conn: ws, pending: make(map[uint64]chan reply)}
 	go c.link.read(context.WithoutCancel(ctx))
 	return c.link, nil
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -40,6 +40,9 @@
 
 // recordRankArrival counts a new job of a pool by its rank.
 func (s *State) recordRankArrival(js *jobState, now clock.BootTime) {
+	if s.rankArrivals == nil {
+		s.rankArrivals = make(map[loadRank]arrival)
+	}
 	k := loadRank{s.service(js), s.rankOf(js, now)}
 	s.rankArrivals[k] = s.rankArrivals[k].add(js.total, now)
 }
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -69,15 +69,15 @@
 	waves          map[int]*wave
 	inheritedDues  map[int]time.Time // when the waves of previous terms are due
 	machineStates  map[machine.ID]*machineState
-	listedAt       clock.BootTime     // when the machines were last listed
-	inputCurrentAt clock.BootTime     // time up to which the input is complete
-	inputRev       kv.Revision        // revision up to which the input has been read
-	shortage       bool               // a pool has fewer machines than its timely work needs
-	poolsLoggedAt  clock.BootTime     // when the pools were last logged
-	waitLoggedAt   clock.BootTime     // when the waiting tasks were last logged
-	waiting        int                // see Stats
-	arrivals       map[string]arrival // by pool
-	rankArrivals   map[loadRank]arrival
+	listedAt       clock.BootTime              // when the machines were last listed
+	inputCurrentAt clock.BootTime              // time up to which the input is complete
+	inputRev       kv.Revision                 // revision up to which the input has been read
+	shortage       bool                        // a pool has fewer machines than its timely work needs
+	poolsLoggedAt  clock.BootTime              // when the pools were last logged
+	waitLoggedAt   clock.BootTime              // when the waiting tasks were last logged
+	waiting        int                         // see Stats
+	arrivals       map[string]arrival          // by pool
+	rankArrivals   map[loadRank]arrival        // nil: no job has arrived
 	maintained     map[machine.ID]*maintenance // see indexMaintenances
 	leaving        map[*step]int               // long-running tasks that must leave and fit nowhere, in this pass
 	takers         map[*step][]*runnerState    // see hasRoomElsewhere
@@ -120,7 +120,6 @@
 		inheritedDues:  make(map[int]time.Time),
 		machineStates:  make(map[machine.ID]*machineState),
 		arrivals:       make(map[string]arrival),
-		rankArrivals:   make(map[loadRank]arrival),
 		intents:        make(map[machine.ID]Intent),
 		maintained:     make(map[machine.ID]*maintenance),
 		leaving:        make(map[*step]int),
