overload: accept what can be completed in time, whatever its order

The first rule accepted what could start within its objective. Now a job is accepted as long as all accepted work of its urgency can be started before the first of it loses its value; large jobs are rejected at a lower load than small ones.

--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -5,17 +5,19 @@
 	"time"
 )
 
-// MaxAge is the age from which a view is not used.
-const MaxAge = time.Second
-
 const (
-	// startShare is the share of the time that a job's objective leaves beside its run
-	// time in which it must be able to start; the rest is taken by storing the job,
-	// planning and reports.
-	startShare = 0.8
-	// minSizeFactor bounds how much earlier large jobs are rejected than the average
-	// one of their queue.
-	minSizeFactor = 0.5
+	// MaxAge is the age from which a view is not used.
+	MaxAge = time.Second
+	// shortWait is a wait for which no job is rejected: until the next view, the daemon
+	// does not know whether the pool has become idle.
+	shortWait = 300 * time.Millisecond
+	// maxUse is the share of the time that is left for the accepted work which it may
+	// take; daemons with views of different ages accept more than any of them knows. It
+	// is that of the smallest jobs. For the largest it is lower by sizeUse, so that they
+	// are rejected first. With equal shares for all sizes, the trials in
+	// docs/design/overload.md completed a fifth fewer jobs within their objective.
+	maxUse  = 0.7
+	sizeUse = 0.6
 )
 
 // Reason is why a job is rejected.
@@ -23,107 +25,135 @@
 
 // Reasons.
 const (
-	Backlog  Reason = "backlog"  // the work before it takes too long
-	Promised Reason = "promised" // accepted work of its rank would be too late with it
-	Share    Reason = "share"    // the same for a job beyond the share of its workspace
+	Backlog  Reason = "backlog"  // the accepted work takes too long for the job
+	Promised Reason = "promised" // with the job, accepted work would take too long
+	Share    Reason = "share"    // one of these, for a job beyond the share of its workspace
 )
 
 // Decision is the decision on a submission.
 type Decision struct {
 	Reject bool
 	Reason Reason
-	Wait   time.Duration // predicted time to the start of the job
+	// Wait is the predicted time until the accepted work of its urgency is started.
+	Wait time.Duration
 	// RetryAfter is when the caller should submit the job again, in whole seconds.
 	RetryAfter time.Duration
 }
 
 // Decide decides on a job, by a view of the given age and the jobs that this daemon has
-// accepted since the view was computed. A nil view accepts.
-func (v *View) Decide(j *Job, age time.Duration, since []Job) Decision {
+// accepted and the view may lack. A nil view accepts.
+func (v *View) Decide(j *Job, age time.Duration, unseen []Job) Decision {
 	if v == nil || age > MaxAge {
 		return Decision{}
 	}
 	p := v.pool(j.Pool)
-	if p == nil || p.Cores <= 0 && len(p.Arriving) == 0 || j.Work <= 0 {
+	if p == nil || p.Cores <= 0 && len(p.Arriving) == 0 || j.Work <= 0 || p.mayBeIdle(j, age, unseen) {
 		return Decision{}
 	}
-	a := v.assess(p, j, age, since)
-	if a.idle >= j.Cores {
-		return Decision{}
+	l := v.assess(p, j, age, unseen)
+	d := Decision{Wait: p.clears(l.work+j.Work, l.above, age)}
+	if d.Wait <= shortWait {
+		return d
 	}
-	limit := min(a.left, Left(j.Objective, 0, j.Chain))
-	start := p.clears(a.before+j.Work, a.taken, age)
-	all := p.clears(a.before+a.late+j.Work, a.taken, age)
-	allowed := time.Duration(startShare * a.sizeFactor * float64(j.Objective-j.Chain))
-	if start <= allowed && all <= limit {
-		return Decision{}
-	}
-	if p.clears(a.before+a.late+j.Work, a.taken+a.rate, age) <= limit {
-		return Decision{}
+	use := maxUse
+	if l.rate > 0 {
+		use -= sizeUse * l.smaller / l.rate
 	}
-	d := Decision{Reject: true, Reason: Backlog, Wait: start}
+	available := time.Duration(use * float64(Left(j.Objective, 0, j.Chain)))
 	switch {
-	case a.rank.Beyond:
+	case d.Wait > available:
+		d.Reason = Backlog
+	case slices.ContainsFunc(l.promises, func(x promise) bool {
+		return p.clears(x.work+j.Work, l.above, age) > time.Duration(use*float64(x.left))
+	}):
+		d.Reason, available = Promised, 0
+	default:
+		return d
+	}
+	if l.rank.Beyond {
 		d.Reason = Share
-	case start <= allowed:
-		d.Reason, d.Wait = Promised, all
 	}
-	d.RetryAfter = retryAfter(j, p.clears(a.before+a.late+j.Work, 0, age)-allowed)
+	d.Reject = true
+	d.RetryAfter = retryAfter(j, p.clears(l.work, 0, age)-available)
 	return d
 }
 
-// assessment is the load that a job meets.
-type assessment struct {
-	rank         Rank
-	before, late float64 // work started before the job, and after it once it is late
-	taken, rate  float64 // cores that arrivals of higher and of its own rank take
-	idle         float64 // cores that are idle for it
-	left         time.Duration
-	sizeFactor   float64
+// mayBeIdle reports whether capacity for the first steps of a job may be idle now: it was
+// when the view was computed, or what waited for capacity has been started since. Jobs
+// that other daemons have accepted since are not known.
+func (p *Pool) mayBeIdle(j *Job, age time.Duration, unseen []Job) bool {
+	idle, ready := p.Idle, p.Ready
+	for i := range unseen {
+		if u := &unseen[i]; u.Pool == j.Pool {
+			idle -= u.Cores
+			ready += u.Work
+		}
+	}
+	return idle >= j.Cores || ready <= p.Cores*age.Seconds()
+}
+
+// load is what a job meets in its pool.
+type load struct {
+	rank     Rank
+	work     float64 // that waits, of its urgency and higher ones
+	above    float64 // work of higher urgency that arrives per second
+	rate     float64 // the same with that of its urgency
+	smaller  float64 // of rate, that of higher urgency or of smaller jobs
+	promises []promise
+}
+
+// promise is the accepted work of one size: some of it has no value any more unless what
+// is started before it is done within the time left.
+type promise struct {
+	work float64
+	left time.Duration
 }
 
 // assess returns the load that a job meets now: that of the view, with what has been
-// done and has arrived since.
-func (v *View) assess(p *Pool, j *Job, age time.Duration, since []Job) assessment {
-	a := assessment{rank: v.rank(j), idle: p.Idle, left: never, sizeFactor: 1}
-	arrived, own := 0.0, 0.0
+// done and has arrived since. The arrivals of all daemons continue at the rate of the view.
+func (v *View) assess(p *Pool, j *Job, age time.Duration, unseen []Job) load {
+	l := load{rank: v.rank(j)}
+	late := 0.0 // of the urgency of the job
 	for i := range p.Classes {
 		c := &p.Classes[i]
-		order := c.Rank().Compare(a.rank)
-		if order > 0 {
+		urgency := c.Rank().compareUrgency(l.rank)
+		if urgency > 0 {
 			break
 		}
-		a.idle -= c.Ready
-		a.before += c.Timely
-		arrived += c.Rate * age.Seconds()
-		if order < 0 {
-			a.before += c.Late
-			a.taken += c.Rate
-			continue
+		l.work += c.Timely + c.Late
+		l.rate += c.Rate
+		if urgency < 0 {
+			l.above += c.Rate
+		} else {
+			late += c.Late
 		}
-		a.late, a.rate = c.Late, c.Rate
-		if c.Left > 0 {
-			a.left = max(c.Left-age, 0)
+		if c.Rank().Compare(l.rank) < 0 {
+			l.smaller += c.Rate
 		}
-		if c.Size > 0 {
-			a.sizeFactor = min(max(c.Size/j.Work, minSizeFactor), 1)
+	}
+	own := 0.0
+	for i := range unseen {
+		if u := &unseen[i]; u.Pool == j.Pool && v.rank(u).compareUrgency(l.rank) <= 0 {
+			own += u.Work
 		}
 	}
-	for i := range since {
-		if s := &since[i]; s.Pool == j.Pool && v.rank(s).Compare(a.rank) <= 0 {
-			own += s.Work
+	done, arrived := p.Cores*age.Seconds(), max(l.rate*age.Seconds(), own)
+	before := l.work - late // timely work is started before late work, whatever its size
+	for i := range p.Classes {
+		c := &p.Classes[i]
+		if c.Rank().compareUrgency(l.rank) != 0 {
+			continue
+		}
+		before += c.Late
+		if c.Left > 0 {
+			l.promises = append(l.promises, promise{work: max(before-done, 0) + arrived, left: max(c.Left-age, 0)})
 		}
 	}
-	done := p.Cores * age.Seconds()
-	a.late = max(a.late-max(done-a.before, 0), 0)
-	arrived = max(arrived, own)
-	a.before = max(a.before-done, 0) + arrived
-	// What has arrived is assumed to need cores in the proportion of this job.
-	a.idle -= arrived / j.Work * j.Cores
-	return a
+	l.work = max(l.work-done, 0) + arrived
+	return l
 }
 
 func (v *View) rank(j *Job) Rank {
 	_, beyond := slices.BinarySearch(v.Beyond, j.Workspace)
-	return Rank{Beyond: beyond, Priority: j.Priority}
+	return Rank{Beyond: beyond, Priority: j.Priority, Size: Size(j.Work)}
 }
--- a/internal/overload/doc.go
+++ b/internal/overload/doc.go
@@ -9,15 +9,15 @@
 // arrives. Each entry daemon decides by the newest view and by what it has accepted
 // itself since. A job is accepted if one of these holds:
 //
-//   - Capacity for its first steps is idle.
-//   - It can start early enough to meet its objective, and all accepted work of its
-//     rank can still be completed before it loses its value.
-//   - The work before it and the arrivals of its rank leave capacity, so that it is
-//     completed before it loses its value.
+//   - Capacity for its first steps may be idle.
+//   - All accepted work of its urgency and higher ones can be started soon enough: the
+//     job itself and all accepted jobs of its urgency can then be completed within three
+//     times their objective, in whatever order the scheduler starts them.
 //
-// The scheduler starts work of higher rank first and, within a rank, timely work
-// before late work. During a surge a job that cannot start in time would therefore
-// wait behind all later ones, which is why the third case counts the arrivals.
+// The scheduler starts timely work before late work. While more timely work keeps
+// arriving than a pool can do, late work is not started at all. The second condition
+// therefore holds only if no more jobs are accepted once it is no longer met, which is
+// why it is checked for the accepted jobs and not only for the new one.
 //
 // Without a view, or a fresh one, everything is accepted.
 package overload
--- a/internal/overload/retry.go
+++ b/internal/overload/retry.go
@@ -6,18 +6,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// minSpread is the number of seconds over which rejected jobs return at least.
-const minSpread = 2
-
 // retryAfter returns when a job should be submitted again if capacity is expected in
-// the given time. Jobs are spread by their ID over about the time that the backlog
-// lasts, but return before they lose their value, which counts from their first attempt.
+// the given time. A rejected job can no longer meet its objective, so it should not
+// displace jobs that can: it returns in the second half of the time in which it has any
+// value, which counts from its first attempt. Jobs are spread over that time by their ID.
 func retryAfter(j *Job, in time.Duration) time.Duration {
 	last := max(int64((ValueFactor*j.Objective-j.Chain)/time.Second), 1)
-	first := min(max(int64((in+time.Second-1)/time.Second), 1), last)
-	spread := min(max(first, minSpread), last-first+1)
-	if spread < minSpread && last >= minSpread { // all would return in the last second
-		first, spread = last-minSpread+1, minSpread
+	first := min(max(int64((in+time.Second-1)/time.Second), (last+1)/2, 1), last)
+	if first == last {
+		first = max(last-1, 1)
 	}
-	return time.Duration(first+int64(xxhash.Sum64String(string(j.ID))%uint64(spread))) * time.Second
+	return time.Duration(first+int64(xxhash.Sum64String(string(j.ID))%uint64(last-first+1))) * time.Second
 }
--- a/internal/overload/view.go
+++ b/internal/overload/view.go
@@ -2,19 +2,24 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
-// Rank is the order in which a pool starts the jobs without long-running tasks; the
-// order within a rank is that of their deadlines and remaining work.
+// Rank is the order in which a pool starts timely jobs without long-running tasks. Late
+// ones come after the timely ones of their urgency.
 type Rank struct {
 	Beyond   bool // beyond the share of its workspace
 	Priority int  // of its queue; 0 is the highest
+	Size     int  // as returned by Size, of the remaining work
 }
 
-// Compare returns a negative number if work of rank r is started before that of o.
-func (r Rank) Compare(o Rank) int {
+// Compare returns a negative number if timely work of rank r is started before that of o.
+func (r Rank) Compare(o Rank) int { return cmp.Or(r.compareUrgency(o), cmp.Compare(r.Size, o.Size)) }
+
+// compareUrgency is like Compare, apart from the size.
+func (r Rank) compareUrgency(o Rank) int {
 	switch {
 	case r.Beyond == o.Beyond:
 		return cmp.Compare(r.Priority, o.Priority)
@@ -24,6 +29,12 @@
 	return 1
 }
 
+// Size returns the size of work in core-seconds, on a scale on which it doubles from
+// every other number to the next.
+func Size(work float64) int {
+	return int(math.Round(2 * math.Log2(min(max(work, 1.0/64), 1<<20))))
+}
+
 // View is the load of the pools at one time.
 type View struct {
 	Term int64 `cbor:"1,keyasint"` // of the leader that computed it
@@ -40,9 +51,10 @@
 type Pool struct {
 	Name     string    `cbor:"1,keyasint"`
 	Cores    float64   `cbor:"2,keyasint,omitempty"` // that a full pool uses on average
-	Idle     float64   `cbor:"3,keyasint,omitempty"` // free cores
+	Idle     float64   `cbor:"3,keyasint,omitempty"` // free cores, less those that waiting tasks will take
 	Arriving []Arrival `cbor:"4,keyasint,omitempty"` // machines on their way, the earliest first
 	Classes  []Class   `cbor:"5,keyasint,omitempty"` // ordered by rank
+	Ready    float64   `cbor:"6,keyasint,omitempty"` // work of the tasks that wait for nothing but capacity
 }
 
 // Arrival is capacity that a pool gets.
@@ -56,23 +68,23 @@
 type Class struct {
 	Beyond   bool    `cbor:"1,keyasint,omitempty"`
 	Priority int     `cbor:"2,keyasint,omitempty"`
-	Ready    float64 `cbor:"3,keyasint,omitempty"` // cores of the tasks that wait for nothing but capacity
 	Timely   float64 `cbor:"4,keyasint,omitempty"` // work of jobs that can meet their objective
 	Late     float64 `cbor:"5,keyasint,omitempty"` // work of the others
 	// Left is the shortest time in which a waiting job must be started so that it is
 	// completed before it loses its value; zero: no job waits.
 	Left time.Duration `cbor:"6,keyasint,omitempty"`
 	Rate float64       `cbor:"7,keyasint,omitempty"` // work that arrives per second, of all daemons
-	Size float64       `cbor:"8,keyasint,omitempty"` // mean work of a job
+	Size int           `cbor:"8,keyasint,omitempty"` // as in Rank
 }
 
 // Rank returns the rank of the class.
-func (c *Class) Rank() Rank { return Rank{Beyond: c.Beyond, Priority: c.Priority} }
+func (c *Class) Rank() Rank { return Rank{Beyond: c.Beyond, Priority: c.Priority, Size: c.Size} }
 
 // Waiting is the part of an open job that waits in a pool.
 type Waiting struct {
 	Rank  Rank
-	Ready float64 // as in Class
+	Cores float64 // of the tasks that wait for nothing but capacity
+	Ready float64 // work of these tasks
 	Work  float64 // of the tasks without a run
 	Late  bool    // the job cannot meet its objective
 	// Left is the time in which it must be started so that it is completed before it
@@ -80,10 +92,12 @@
 	Left time.Duration
 }
 
-// Add adds the waiting part of a job.
+// Add adds the waiting part of a job. Idle becomes negative if more cores are needed than
+// are free.
 func (p *Pool) Add(w Waiting) {
 	c := p.class(w.Rank)
-	c.Ready += w.Ready
+	p.Ready += w.Ready
+	p.Idle -= w.Cores
 	if w.Late {
 		c.Late += w.Work
 	} else {
@@ -94,11 +108,8 @@
 	}
 }
 
-// SetArrivals sets the rate at which work of a rank arrives, and its mean size.
-func (p *Pool) SetArrivals(r Rank, rate, size float64) {
-	c := p.class(r)
-	c.Rate, c.Size = rate, size
-}
+// SetRate sets the rate at which work of a rank arrives.
+func (p *Pool) SetRate(r Rank, rate float64) { p.class(r).Rate = rate }
 
 // Waits reports whether work waits in the pool.
 func (p *Pool) Waits() bool {
@@ -108,7 +119,7 @@
 func (p *Pool) class(r Rank) *Class {
 	i, ok := slices.BinarySearchFunc(p.Classes, r, func(c Class, r Rank) int { return c.Rank().Compare(r) })
 	if !ok {
-		p.Classes = slices.Insert(p.Classes, i, Class{Beyond: r.Beyond, Priority: r.Priority})
+		p.Classes = slices.Insert(p.Classes, i, Class{Beyond: r.Beyond, Priority: r.Priority, Size: r.Size})
 	}
 	return &p.Classes[i]
 }
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -29,9 +29,9 @@
 	rank overload.Rank
 }
 
-// rankOf returns the rank of a job.
-func (s *State) rankOf(js *jobState, now clock.BootTime) overload.Rank {
-	r := overload.Rank{Beyond: s.beyondShare(js, now)}
+// rankOf returns the rank of a job with the given remaining work in core-seconds.
+func (s *State) rankOf(js *jobState, work float64, now clock.BootTime) overload.Rank {
+	r := overload.Rank{Beyond: s.beyondShare(js, now), Size: overload.Size(work)}
 	if js.terms != nil {
 		r.Priority = js.terms.Priority
 	}
@@ -43,7 +43,7 @@
 	if s.rankArrivals == nil {
 		s.rankArrivals = make(map[loadRank]arrival)
 	}
-	k := loadRank{s.service(js), s.rankOf(js, now)}
+	k := loadRank{s.service(js), s.rankOf(js, js.total, now)}
 	s.rankArrivals[k] = s.rankArrivals[k].add(js.total, now)
 }
 
@@ -76,7 +76,7 @@
 			continue
 		}
 		if rate := a.recentLoad(now); rate > minRate {
-			v.Pools[i].SetArrivals(k.rank, rate, a.size)
+			v.Pools[i].SetRate(k.rank, rate)
 		}
 	}
 	for i := range v.Pools {
@@ -109,9 +109,9 @@
 			continue
 		}
 		for _, o := range js.occs {
-			chain, _ := o.remaining()
+			chain, work := o.remaining()
 			class := s.deadlineClass(js, chain, now)
-			w := overload.Waiting{Rank: s.rankOf(js, now), Late: class == late}
+			w := overload.Waiting{Rank: s.rankOf(js, work, now), Late: class == late}
 			for _, st := range o.steps {
 				if st.idle == 0 || st.spec.BestEffort {
 					continue
@@ -121,7 +121,8 @@
 				demand.CPU += st.idle * st.spec.Resources.CPU
 				demand.Mem += st.idle * st.spec.Resources.Mem
 				if o.ready(st) {
-					w.Ready += cores
+					w.Cores += cores
+					w.Ready += cores * st.spec.Estimate.Seconds()
 				}
 			}
 			if w.Work == 0 || class == longOverdue {
