--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -308,6 +308,9 @@
 		t.Errorf("surge %v: %d jobs rejected while capacity was idle", surge, r.idle)
 	}
 	for _, j := range r.rejected {
+		if j.priority == 0 && len(surge) > 1 {
+			t.Errorf("surge %v: job %s of the more urgent queue, which the pool can hold, was rejected", surge, j.ID)
+		}
 		if j.accepted > 0 || j.ended > 0 {
 			t.Errorf("surge %v: job %s was rejected and ran", surge, j.ID)
 		}
