--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,6 +1,7 @@
 // Package query sends queries between daemons: for the state of a job, for the
-// number of jobs of a queue that have not started, and for the load of the pools. Queries are sent over a
-// WebSocket connection as CBOR, and replies may arrive in any order.
+// number of jobs of a queue that have not started, and for the load of the pools.
+// Queries are sent over a WebSocket connection as CBOR, and replies may arrive in
+// any order.
 //
 // The queried daemon replies with a result only while it leads. If it does not,
 // or if it does not reply in time, a query returns an error, and package entry
