--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -60,7 +61,7 @@
 	free      float64
 	stored    []*simJob // accepted, and not ended
 	runs      []simRun
-	rates     map[Rank]*[2]float64 // arrivals by priority, over a short and a long window
+	rates     map[Rank]*[2]float64 // arrivals by rank, over a short and a long window
 	cached    *View
 	cachedAt  time.Duration
 	views     [daemons]*View
@@ -68,7 +69,6 @@
 	own       [daemons][]*simJob
 	rejected  []*simJob // given up by their callers
 	retries   map[time.Duration]int
-	reasons   map[Reason]int
 	idle      int           // rejections while capacity was idle
 	noView    bool          // the daemons have no views
 	repeats   int           // how often a caller repeats a rejected submission
@@ -174,7 +174,6 @@
 	if free >= j.Cores {
 		r.idle++
 	}
-	r.reasons[decision.Reason]++
 	r.retries[decision.RetryAfter]++
 	j.at = r.now + decision.RetryAfter
 	if j.attempts++; j.attempts > r.repeats {
@@ -204,13 +203,14 @@
 
 // run plays a surge of the given multiple of the capacity for each priority.
 func (r *replay) run(surge map[int]float64) {
-	r.free, r.rates, r.retries, r.reasons = poolCores, map[Rank]*[2]float64{}, map[time.Duration]int{}, map[Reason]int{}
+	r.free, r.rates, r.retries = poolCores, map[Rank]*[2]float64{}, map[time.Duration]int{}
 	meanWork := 1.6 * 0.65 * tasks * taskCores
 	var waiting []*simJob // callers that wait to send a job
 	due := map[int]float64{}
 	n := 0
 	for ; r.now < replayEnd; r.now += tick {
-		for prio, load := range surge {
+		for _, prio := range slices.Sorted(maps.Keys(surge)) { // the same order in each run
+			load := surge[prio]
 			if r.now < surgeFrom {
 				load = 0.5 / float64(len(surge))
 			} else if r.now >= surgeUntil {
@@ -299,8 +299,8 @@
 	t.Helper()
 	all, inTime, tooLate := r.served(accepted)
 	_, firstInTime, firstTooLate := r.served(first)
-	t.Logf("surge %v: completed %d, in time %d, too late %d; from the first attempt %d, %d; given up %d, reasons %v, retries %v",
-		surge, all, inTime, tooLate, firstInTime, firstTooLate, len(r.rejected), r.reasons, r.retries)
+	t.Logf("surge %v: completed %d, in time %d, too late %d; from the first attempt %d, %d; given up %d, retries %v",
+		surge, all, inTime, tooLate, firstInTime, firstTooLate, len(r.rejected), r.retries)
 	if tooLate > maxLate || len(r.stored) > 0 {
 		t.Errorf("surge %v: %d accepted jobs later than three times their objective, %d not completed", surge, tooLate, len(r.stored))
 	}
