--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,6 +19,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	keys     *prometheus.CounterVec
+	rejected *prometheus.CounterVec
 }
 
 // New returns a Set without gauges.
@@ -35,8 +36,11 @@
 		keys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gypsumtrestle_key_rejections_total", Help: "Requests rejected for their key or for an outdated configuration, by reason.",
 		}, []string{"reason"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumtrestle_jobs_rejected_total", Help: "Jobs rejected because of the load, by queue and reason.",
+		}, []string{"queue", "reason"}),
 	}
-	s.registry.MustRegister(s.requests, s.latency, s.keys)
+	s.registry.MustRegister(s.requests, s.latency, s.keys, s.rejected)
 	return s
 }
 
@@ -50,6 +54,11 @@
 // configuration.
 func (s *Set) AddKeyRejection(r workspace.Reason) { s.keys.WithLabelValues(string(r)).Inc() }
 
+// AddRejection counts a job that was rejected because of the load.
+func (s *Set) AddRejection(queue, reason string) {
+	s.rejected.WithLabelValues(queue, reason).Inc()
+}
+
 // Gauge adds a gauge whose value is read when the metrics are scraped. It panics
 // if the name is already in use.
 func (s *Set) Gauge(name, help string, value func() float64) {
