--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -91,10 +91,8 @@
 	if v := a.submit(testID); v != Overloaded || a.rejected != 1 {
 		t.Fatalf("verdict %v, %d rejections counted, want a rejection", v, a.rejected)
 	}
-	for _, key := range []string{job.Key(testID), lookupKey} {
-		if _, err := s.Get(t.Context(), key); !errors.Is(err, kv.ErrNotFound) {
-			t.Errorf("key %s is in the store after a rejection (%v)", key, err)
-		}
+	if items, _, err := s.List(t.Context(), ""); err != nil || len(items) > 0 {
+		t.Errorf("%d keys in the store after a rejection (%v)", len(items), err)
 	}
 	s.Put(job.Key(testID), []byte("of another daemon"))
 	if v := a.submit(testID); v != Accepted {
@@ -113,11 +111,8 @@
 // noLookup is a store that does not respond to lookups.
 type noLookup struct{ *store.Store }
 
-func (s noLookup) Commit(ctx context.Context, t kv.Txn) (kv.Revision, error) {
-	if t.Conds[0].Rev == noRevision {
-		return 0, errors.Wrap(kv.ErrUnknown, "no response")
-	}
-	return s.Store.Commit(ctx, t)
+func (s noLookup) Get(context.Context, string) (kv.Item, error) {
+	return kv.Item{}, errors.Wrap(kv.ErrUnknown, "no response")
 }
 
 // TestAcceptedInDoubt guards against a rejection without a fresh view of the present
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -17,10 +17,6 @@
 	// maxLookups bounds the concurrent lookups; a daemon has eight connections to the
 	// store.
 	maxLookups = 4
-	// noRevision is a revision that no key has.
-	noRevision kv.Revision = 1 << 52
-	// lookupKey is the key that the transaction of a lookup would write.
-	lookupKey = "gt/lookup"
 )
 
 // Submit stores a job and waits for the verdict until the deadline. If the verdict is
@@ -44,10 +40,8 @@
 	return v, 0
 }
 
-// notStored reports whether a job is certainly not in the store. A read may return an
-// older state, so it uses a transaction whose condition no state fulfills: it writes
-// nothing, and its conflict has the present state. If the store does not respond, the
-// job may be stored.
+// notStored reports whether a job is certainly not in the store, whose reads are
+// linearizable. If the store does not respond, the job may be stored.
 func (e *Entry) notStored(ctx context.Context, id job.ID) bool {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -57,11 +51,9 @@
 	case <-ctx.Done():
 		return false
 	}
-	_, err := e.Store.Commit(ctx, kv.Txn{Conds: []kv.Cond{{Key: job.Key(id), Rev: noRevision}}, Writes: []kv.Write{{Key: lookupKey}}})
-	var conflict *kv.Conflict
-	if !errors.As(err, &conflict) {
+	_, err := e.Store.Get(ctx, job.Key(id))
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		e.Logger.Log("msg", "job lookup failed, job is not rejected", "job", id, "err", err)
-		return false
 	}
-	return conflict.Find(job.Key(id)).Rev == 0
+	return errors.Is(err, kv.ErrNotFound)
 }
