overload: count only what goes before a job as its load

Jobs that this daemon had accepted since its view counted as work before a job whatever their size, so large ones could make a smaller one rejected.

Only those of its rank and higher ones count now.

--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -94,7 +94,8 @@
 
 // mayBeIdle reports whether capacity for the first steps of a job may be idle now: it was
 // when the view was computed, or what waited for capacity has been started since, or its
-// tasks are smaller than those that wait and fit where these do not. Jobs that other daemons have accepted since are not known.
+// tasks are smaller than those that wait and fit where these do not. Jobs that other
+// daemons have accepted since are not known.
 func (p *Pool) mayBeIdle(j *Job, age time.Duration, unseen []Job) bool {
 	idle, ready := p.Idle, p.Ready
 	for i := range unseen {
@@ -154,10 +155,15 @@
 			l.before += c.Timely
 		}
 	}
-	own := 0.0
+	own, ownBefore := 0.0, 0.0
 	for i := range unseen {
-		if u := &unseen[i]; u.Pool == j.Pool && v.rank(u).compareUrgency(l.rank) <= 0 {
-			own += u.Work
+		u := &unseen[i]
+		if u.Pool != j.Pool || v.rank(u).compareUrgency(l.rank) > 0 {
+			continue
+		}
+		own += u.Work
+		if v.rank(u).Compare(l.rank) <= 0 {
+			ownBefore += u.Work
 		}
 	}
 	done, arrived := p.Cores*age.Seconds(), max(l.rate*age.Seconds(), own)
@@ -173,7 +179,7 @@
 		}
 	}
 	l.work = max(l.work-done, 0) + arrived
-	l.before = max(l.before-done, 0) + min(arrived, max(l.smaller*age.Seconds(), own))
+	l.before = max(l.before-done, 0) + max(l.smaller*age.Seconds(), ownBefore)
 	return l
 }
 
