--- a/cmd/gypsumtrestle/entry.go
+++ b/cmd/gypsumtrestle/entry.go
@@ -26,9 +26,10 @@
 	Settings string         `help:"Settings file of the platform." env:"GYPSUMTRESTLE_NODE_FILE" required:"" type:"path" placeholder:"FILE"`
 	Metrics  netip.AddrPort `help:"Address that serves metrics." default:"0.0.0.0:9464" placeholder:"IP:PORT"`
 	// For 49 runners, the calls of the leader use a tenth of a processor.
-	Relays   int  `help:"Number of runners above which the leader reaches them through the other daemons." default:"100" placeholder:"N"`
-	Together bool `help:"Place tasks without regard to which images slow each other down."`
-	Check    bool `help:"Check the settings and exit."`
+	Relays    int    `help:"Number of runners above which the leader reaches them through the other daemons." default:"100" placeholder:"N"`
+	Together  bool   `help:"Place tasks without regard to which images slow each other down."`
+	Admission string `help:"Whether jobs that an overloaded pool cannot complete in time are rejected, on or off." enum:"on,off" default:"on" placeholder:"on|off"`
+	Check     bool   `help:"Check the settings and exit."`
 }
 
 // Run runs a daemon on the users' platform until the process receives a stop
@@ -52,5 +53,6 @@
 	w := oplog.NewWriter(os.Stdout)
 	defer w.Close()
 	logger := log.With(log.NewLogfmtLogger(w), "at", log.DefaultTimestampUTC, "host", settings.Name)
-	return host.New(settings, c.Metrics, c.Relays, c.Together, logger).Run(ctx, c.Settings, hangups)
+	o := host.Options{Metrics: c.Metrics, DirectLimit: c.Relays, Together: c.Together, Admission: c.Admission == "on"}
+	return host.New(settings, o, logger).Run(ctx, c.Settings, hangups)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -64,6 +64,7 @@
 	logger      log.Logger
 	config      *entry.ConfigWatcher
 	jobs        *entry.JobWriter
+	admission   *entry.Admission // nil: off
 	leader      *lead.Leader
 	callerAPI   *platform.CallerAPI
 	intake      *intake.Guard
@@ -75,11 +76,19 @@
 	incarnation string
 }
 
-// New returns a daemon that is not running yet. As the leader it calls the runners
-// itself if there are at most directLimit of them, and otherwise through the other
-// daemons. If together is set, it places tasks without regard to interference.
-func New(s *platform.Settings, metricsAddr netip.AddrPort, directLimit int, together bool, logger log.Logger) *Daemon {
-	d := &Daemon{settings: s, logger: logger, metrics: metric.New(), metricsAddr: metricsAddr, incarnation: uuid.NewString()}
+// Options are the settings of a daemon that its operators choose.
+type Options struct {
+	Metrics netip.AddrPort // address that serves the metrics
+	// DirectLimit is the number of runners up to which the daemon calls them itself as
+	// the leader.
+	DirectLimit int
+	Together    bool // tasks are placed without regard to interference
+	Admission   bool // jobs that an overloaded pool cannot complete in time are rejected
+}
+
+// New returns a daemon that is not running yet.
+func New(s *platform.Settings, o Options, logger log.Logger) *Daemon {
+	d := &Daemon{settings: s, logger: logger, metrics: metric.New(), metricsAddr: o.Metrics, incarnation: uuid.NewString()}
 	store := platform.NewStore(s.Store)
 	d.config = &entry.ConfigWatcher{
 		Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig, Logger: log.With(logger, "part", "config"),
@@ -88,7 +97,7 @@
 	runners := &platform.RunnerClient{}
 	d.relays = &relay.Pool{
 		Direct: runners, Logger: log.With(logger, "part", "relay"),
-		CallDirectly: func() bool { return d.leader.PolledRunners() <= directLimit },
+		CallDirectly: func() bool { return d.leader.PolledRunners() <= o.DirectLimit },
 		Runners:      func() int { return d.leader.PolledRunners() },
 		Replied: func(name, incarnation string, at clock.BootTime) {
 			d.leader.DaemonReplied(name, incarnation, at)
@@ -112,7 +121,7 @@
 			MaintenanceTime: s.Bounds.MaintenanceTime, MoveTime: s.Bounds.MoveTime, MachineTakeover: s.Bounds.MachineLease,
 		},
 		MaxValue:         s.MaxValue,
-		Together:         together,
+		Together:         o.Together,
 		RelativeCapacity: relativeCapacity,
 		RelativeCores:    min(s.Cores/referenceCores, 1),
 		Logger:           log.With(logger, "part", "lead"),
@@ -121,9 +130,14 @@
 		Name: s.Name, Incarnation: d.incarnation, Zone: s.Zone, RelativeCapacity: relativeCapacity, Leader: d.leader.RemoteLeader, Runners: runners,
 		Logger: log.With(logger, "part", "relay"),
 	}
+	queries := &query.Client{}
+	if o.Admission {
+		d.admission = entry.NewAdmission(d.leader, queries, log.With(logger, "part", "admission"))
+		d.admission.Count = d.metrics.AddRejection
+	}
 	d.callerAPI = &platform.CallerAPI{
 		Entry: &entry.Entry{
-			Store: store, ConfigWatcher: d.config, Jobs: d.jobs, Leader: d.leader, QueryClient: &query.Client{},
+			Store: store, ConfigWatcher: d.config, Jobs: d.jobs, Leader: d.leader, QueryClient: queries, Admission: d.admission,
 			Logger: log.With(logger, "part", "entry"),
 		},
 		Logger: log.With(logger, "part", "front"), Now: time.Now, Stopping: d.stopping.Load, Count: d.metrics.AddRequest,
@@ -193,6 +207,9 @@
 	add(d.config.Run)
 	add(d.relay.Run)
 	add(d.jobs.Run)
+	if d.admission != nil {
+		add(d.admission.Run)
+	}
 	leading, stepDown := context.WithCancel(serving)
 	g.Add(func() error {
 		err := d.leader.Run(leading)
--- a/internal/host/recorded_test.go
+++ b/internal/host/recorded_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"gypsumtrestle.example/gypsumtrestle/internal/metric"
 	"gypsumtrestle.example/gypsumtrestle/internal/recorded"
 	"gypsumtrestle.example/gypsumtrestle/internal/workspace"
 	"gypsumtrestle.example/gypsumtrestle/platform"
@@ -17,7 +17,7 @@
 // TestRecorded guards against renamed metrics, which operators' dashboards would
 // not find.
 func TestRecorded(t *testing.T) {
-	d := New(recorded.New[*platform.Settings](), netip.AddrPort{}, 1, false, log.NewNopLogger())
+	d := New(recorded.New[*platform.Settings](), Options{DirectLimit: 1, Admission: true}, log.NewNopLogger())
 	d.metrics.AddRequest("state", 200, 30*time.Millisecond)
 	w := httptest.NewRecorder()
 	d.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
@@ -33,4 +33,9 @@
 		}
 	}
 	f.Check("key-rejections", lines)
+	rejections := metric.New()
+	rejections.AddRejection("q", "backlog")
+	w = httptest.NewRecorder()
+	rejections.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	f.Check("rejections", w.Body.Bytes())
 }
