--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -267,9 +267,6 @@
 // workWithinCap returns the remaining work of an occurrence that counts as demand, in
 // core-seconds: in proportion to its ready tasks that the cap allows to run now.
 func (o *occurrence) workWithinCap(coreSeconds float64) float64 {
-	if o.job.account == nil {
-		return coreSeconds
-	}
 	all, within := 0, 0
 	for _, st := range o.steps {
 		if !st.complete() && o.ready(st) {
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -187,18 +187,24 @@
 	for _, js := range s.open[pool] {
 		for _, o := range js.occs {
 			chain, coreSeconds := o.remaining()
-			class := s.shareClass(js, s.deadlineClass(js, chain, now), now)
+			class := s.deadlineClass(js, chain, now)
+			if js.account != nil {
+				class, coreSeconds = s.shareClass(js, class, now), o.workWithinCap(coreSeconds)
+			}
 			if !js.def.LongRunning() {
-				work[class] += o.workWithinCap(coreSeconds)
+				work[class] += coreSeconds
 			}
 			for _, st := range o.steps {
-				cpu := st.spec.Demand().CPU
+				cpu, tasks := st.spec.Demand().CPU, len(st.tasks)-st.done
+				if js.account != nil {
+					tasks = st.demandWithinCap()
+				}
 				switch {
 				case st.complete() || !o.ready(st):
 				case st.spec.LongRunning:
-					longRunningCPU += cpu * (st.demandWithinCap() + st.done)
+					longRunningCPU += cpu * (tasks + st.done)
 				default:
-					readyCores[class] += float64(cpu*st.demandWithinCap()) / 1000
+					readyCores[class] += float64(cpu*tasks) / 1000
 				}
 			}
 		}
