--- a/cmd/gypsumtrestle/entry.go
+++ b/cmd/gypsumtrestle/entry.go
@@ -28,7 +28,7 @@
 	// For 49 runners, the calls of the leader use a tenth of a processor.
 	Relays    int    `help:"Number of runners above which the leader reaches them through the other daemons." default:"100" placeholder:"N"`
 	Together  bool   `help:"Place tasks without regard to which images slow each other down."`
-	Admission string `help:"Whether jobs that an overloaded pool cannot complete in time are rejected, on or off." enum:"on,off" default:"on" placeholder:"on|off"`
+	Admission string `help:"Whether jobs that an overloaded pool cannot complete in time are rejected: on, off, or auto for on if the configuration has workspaces." enum:"auto,on,off" default:"auto" placeholder:"auto|on|off"`
 	Check     bool   `help:"Check the settings and exit."`
 }
 
@@ -53,6 +53,6 @@
 	w := oplog.NewWriter(os.Stdout)
 	defer w.Close()
 	logger := log.With(log.NewLogfmtLogger(w), "at", log.DefaultTimestampUTC, "host", settings.Name)
-	o := host.Options{Metrics: c.Metrics, DirectLimit: c.Relays, Together: c.Together, Admission: c.Admission == "on"}
+	o := host.Options{Metrics: c.Metrics, DirectLimit: c.Relays, Together: c.Together, Admission: host.Admission(c.Admission)}
 	return host.New(settings, o, logger).Run(ctx, c.Settings, hangups)
 }
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -48,6 +48,8 @@
 	Logger log.Logger
 	Now    func() clock.BootTime
 	Count  func(queue, reason string) // counts rejections
+	// Enabled reports whether jobs may be rejected now; nil: always.
+	Enabled func() bool
 
 	mu       sync.Mutex
 	view     *overload.View // nil: none
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -23,7 +23,7 @@
 // Overloaded, the caller should submit the job again after the returned time.
 func (e *Entry) Submit(ctx context.Context, j *job.Job, deadline time.Time) (Verdict, time.Duration) {
 	a := e.Admission
-	if a == nil {
+	if a == nil || a.Enabled != nil && !a.Enabled() {
 		return e.Jobs.Submit(ctx, j, deadline), 0
 	}
 	if r, rejected := a.begin(j); rejected {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,6 +76,16 @@
 	incarnation string
 }
 
+// Admission is when an entry daemon may reject jobs because of the load.
+type Admission string
+
+// Values of Admission.
+const (
+	AdmissionOff  Admission = "off"
+	AdmissionOn   Admission = "on"
+	AdmissionAuto Admission = "auto" // if the configuration has workspaces
+)
+
 // Options are the settings of a daemon that its operators choose.
 type Options struct {
 	Metrics netip.AddrPort // address that serves the metrics
@@ -83,7 +93,8 @@
 	// the leader.
 	DirectLimit int
 	Together    bool // tasks are placed without regard to interference
-	Admission   bool // jobs that an overloaded pool cannot complete in time are rejected
+	// Admission is when jobs are rejected that an overloaded pool cannot complete in time.
+	Admission Admission
 }
 
 // New returns a daemon that is not running yet.
@@ -131,9 +142,15 @@
 		Logger: log.With(logger, "part", "relay"),
 	}
 	queries := &query.Client{}
-	if o.Admission {
+	if o.Admission != AdmissionOff {
 		d.admission = entry.NewAdmission(d.leader, queries, log.With(logger, "part", "admission"))
 		d.admission.Count = d.metrics.AddRejection
+		if o.Admission == AdmissionAuto {
+			d.admission.Enabled = func() bool {
+				c := d.config.Config()
+				return c != nil && len(c.Workspaces) > 0
+			}
+		}
 	}
 	d.callerAPI = &platform.CallerAPI{
 		Entry: &entry.Entry{
