sched: keep the precedence of tasks once too large

A long-running task that exceeded a cap lost its precedence within the workspace for the rest of the term, also after the cap was raised: the mark that its job had been logged was taken for the present state. TestReserveAfterRaisedCap found 0 of 2 cores kept free.

--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -204,7 +204,7 @@
 	if capped(st) {
 		d.Held += st.idle
 	}
-	if !st.spec.LongRunning || st.occ.job.tooLarge {
+	if !st.spec.LongRunning {
 		return
 	}
 	for _, t := range st.tasks {
--- a/internal/sched/caps_test.go
+++ b/internal/sched/caps_test.go
@@ -111,3 +111,18 @@
 		t.Errorf("%d of %d waiting tasks are held, want 100 of 108", d.Held, d.Tasks)
 	}
 }
+
+// TestReserveAfterRaisedCap guards against a long-running task that loses its precedence
+// within its workspace for good because its cap was once lower than the task.
+func TestReserveAfterRaisedCap(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(capConfig(1000))
+	f.jobOf("w", "work", "pool", 1, job.Step{Count: 1, Resources: job.Resources{CPU: 2000, Mem: 1}, LongRunning: true})
+	f.plan()
+	f.s.Configure(capConfig(3000))
+	f.now += second / 10
+	f.plan()
+	if got := f.s.jobs["0000000000000001"].account.Demand().LongRunning.CPU; got != 2000 {
+		t.Errorf("%d thousandths of a core are left for the long-running task, want 2000", got)
+	}
+}
