sched: stop stalled speculative runs at a cap

A stalled speculative run gets a copy on another runner, for which there is no room below the cap once all runs of a workspace stall: they went on until the stall ended, and the workspace had nothing else running. Where only the cap keeps the copy from starting, the run is stopped and its task started elsewhere, like that of a stalled task that is not speculative; not while the usage is above a lowered cap. TestStalledCopyAtCap saw no stop in 4 s before.

--- a/internal/sched/caps.go
+++ b/internal/sched/caps.go
@@ -93,6 +93,14 @@
 	return capped(t.step)
 }
 
+// onlyCapped reports whether a copy of a run of a task could start if the workspace were
+// not at its cap, which the end of the run changes unless the cap was lowered.
+func (s *State) onlyCapped(runners []*runnerState, t *task, now clock.BootTime) bool {
+	return capped(t.step) && !t.job.account.Over() && slices.ContainsFunc(runners, func(rs *runnerState) bool {
+		return s.obstacleTo(rs, t, now) == aboveCap
+	})
+}
+
 // count counts a run in the ledger, which holds all runs that may be on a runner.
 func (r *run) count() { r.task.job.account.Add(r.task.step.spec.Resources) }
 
--- a/internal/sched/caps_test.go
+++ b/internal/sched/caps_test.go
@@ -126,3 +126,16 @@
 		t.Errorf("%d thousandths of a core are left for the long-running task, want 2000", got)
 	}
 }
+
+// TestStalledCopyAtCap guards against a workspace at its cap whose speculative runs use no
+// CPU and go on for ever, since there is no room below the cap for copies of them.
+func TestStalledCopyAtCap(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Configure(capConfig(1000))
+	f.runner("a", "b")
+	f.jobOf("w", "work", "pool", 1, job.Step{Count: 1, Resources: job.Resources{CPU: 1000, Mem: 1}, Speculative: true, Estimate: time.Second})
+	f.accept(f.plan())
+	if stops := f.stall("0000000000000001", 4*time.Second); len(stops) != 1 {
+		t.Errorf("stops %v within 4 s, want that of the stalled run", stops)
+	}
+}
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -39,6 +39,14 @@
 				continue
 			}
 			other := s.choose(runners, t, now)
+			if other == nil && stalled && s.onlyCapped(runners, t, now) {
+				t.retried = true
+				s.Logger.Log("msg", "stalled run stopped, no room below the cap for a copy", "task", t.name, "runner", rs.ID,
+					"ran", now.Sub(r.confirmedAt), "workspace", t.job.account.Name)
+				t.avoid = append(t.avoid, rs.ID)
+				s.stop(r, "run stalled")
+				continue
+			}
 			if other == nil || other == rs {
 				continue
 			}
