explain: show operators where a job would go now, and why

Why a job waits could only be read from the leader's log, for long-running tasks, after they had waited. The command explain sends a job, which is not submitted, to the peer address of an entry daemon. The leader computes from its state what room each step has, the best runner, the runners by obstacle and the work in front. The order of candidates becomes a method, so that both uses have the same one. The recorded help gets the new command in the list of commands. TestExplainChangesNothing compares the whole state of two leaders; it fails if the explanation uses Expect, Ledger.Open or State.remaining.

--- a/cmd/gypsumtrestle/main.go
+++ b/cmd/gypsumtrestle/main.go
@@ -32,6 +32,7 @@
 	Apply   applyCmd   `cmd:"" help:"Put an operators' text in force and wait until it is."`
 	Show    showCmd    `cmd:"" help:"Print the operators' text with its version."`
 	Status  statusCmd  `cmd:"" help:"Print daemons, pools and drains."`
+	Explain explainCmd `cmd:"" help:"Print where a job would go now, and why, without submitting it."`
 	Replay  replayCmd  `cmd:"" help:"Check recorded traces."`
 	Totals  totalsCmd  `cmd:"" help:"Print daily totals as tab-separated values."`
 	Demo    demoCmd    `cmd:"" help:"Run a whole system in one process on loopback."`
--- a/cmd/gypsumtrestle/recorded_test.go
+++ b/cmd/gypsumtrestle/recorded_test.go
@@ -12,7 +12,7 @@
 func TestRecordedHelp(t *testing.T) {
 	t.Setenv("COLUMNS", "200")
 	f := recorded.Open(t, "help.txt")
-	for _, command := range []string{"", "serve", "entry", "check", "apply", "show", "status", "replay", "totals", "demo", "version"} {
+	for _, command := range []string{"", "serve", "entry", "check", "apply", "show", "status", "explain", "replay", "totals", "demo", "version"} {
 		args := []string{command, "--help"}
 		if command == "" {
 			args = args[1:]
--- a/internal/estimate/table.go
+++ b/internal/estimate/table.go
@@ -46,6 +46,15 @@
 	return el.Value.(*entry).expect(declared)
 }
 
+// Peek is Expect, but does not count as a use of the entry.
+func (t *Table) Peek(k Key, declared time.Duration) (ran time.Duration, learned bool) {
+	el := t.entries[k]
+	if el == nil {
+		return declared, false
+	}
+	return el.Value.(*entry).expect(declared)
+}
+
 // Change says that the declared estimates of a key have proved wrong, or right again.
 type Change struct {
 	Key   Key
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 
 	"gypsumtrestle.example/gypsumtrestle/internal/clock"
 	"gypsumtrestle.example/gypsumtrestle/internal/entry"
+	"gypsumtrestle.example/gypsumtrestle/internal/explain"
 	"gypsumtrestle.example/gypsumtrestle/internal/handover"
 	"gypsumtrestle.example/gypsumtrestle/internal/lead"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
@@ -207,6 +208,7 @@
 	peers.Handle(query.Path, query.Handler(d.leader))
 	peers.Handle(relay.Path, d.relays.Handler())
 	peers.Handle(handover.Path, handover.Handler(d.leader))
+	peers.Handle(explain.Path, &explain.Handler{Leader: d.leader, Config: d.config.Config, Decode: platform.DecodeJob})
 	if err := d.serve(ctx, &g, "peer", d.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -207,6 +207,19 @@
 	return t.state.Pending(queue), true
 }
 
+// Explain returns where the tasks of a job would go if it were submitted now. The bool
+// reports whether this daemon leads; if it does not, there is no explanation.
+func (l *Leader) Explain(j *job.Job) (*sched.Explanation, bool, error) {
+	t := l.current.Load()
+	if t == nil {
+		return nil, false, nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, err := t.state.Explain(j, clock.Now(), time.Now())
+	return e, true, err
+}
+
 // Stats returns the statistics of the state, or zeros if this daemon does not
 // lead.
 func (l *Leader) Stats() sched.Stats {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -28,6 +28,9 @@
 	return a
 }
 
+// Find returns the account of a workspace, or nil if no job or run has opened it.
+func (l *Ledger) Find(name string) *Account { return l.accounts[name] }
+
 // Release records that a job which opened an account is no longer in the state. The
 // account is dropped with its last job and its last run; see Sweep.
 func (l *Ledger) Release(a *Account) {
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -37,17 +37,20 @@
 			cs = append(cs, c)
 		}
 	}
-	slices.SortStableFunc(cs, func(a, c candidate) int {
-		return cmp.Or(
-			-compareBool(a.longRunning, c.longRunning),
-			cmp.Compare(a.priority, c.priority),
-			cmp.Compare(a.deadlineClass, c.deadlineClass),
-			cmp.Compare(a.coreSeconds, c.coreSeconds),
-		)
-	})
+	slices.SortStableFunc(cs, candidate.compare)
 	return cs
 }
 
+// compare is negative if a is placed before c.
+func (a candidate) compare(c candidate) int {
+	return cmp.Or(
+		-compareBool(a.longRunning, c.longRunning),
+		cmp.Compare(a.priority, c.priority),
+		cmp.Compare(a.deadlineClass, c.deadlineClass),
+		cmp.Compare(a.coreSeconds, c.coreSeconds),
+	)
+}
+
 // deadlineClass is the urgency class of a job.
 type deadlineClass int
 
