--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 	"gypsumtrestle.example/gypsumtrestle/internal/machine"
+	"gypsumtrestle.example/gypsumtrestle/internal/overload"
 	"gypsumtrestle.example/gypsumtrestle/internal/runner"
 	"gypsumtrestle.example/gypsumtrestle/internal/sched"
 )
@@ -207,6 +209,28 @@
 	return t.state.Pending(queue), true
 }
 
+// Explain returns where the tasks of a job would go if it were submitted now. The bool
+// reports whether this daemon leads; if it does not, there is no explanation.
+func (l *Leader) Explain(j *job.Job) (*sched.Explanation, bool, error) {
+	t := l.current.Load()
+	if t == nil {
+		return nil, false, nil
+	}
+	t.mu.Lock()
+	e, err := t.state.Explain(j, clock.Now(), time.Now())
+	t.mu.Unlock()
+	if err != nil {
+		return nil, true, err
+	}
+	if x, may := overload.NewJob(j); may {
+		v := t.loadView(clock.Now())
+		if d := v.Decide(&x, 0, nil); d.Reject {
+			e.Further = append(e.Further, fmt.Sprintf("rejected for overload (%s) where admission is on: retry after %s", d.Reason, d.RetryAfter))
+		}
+	}
+	return e, true, nil
+}
+
 // Stats returns the statistics of the state, or zeros if this daemon does not
 // lead.
 func (l *Leader) Stats() sched.Stats {
