intake: do not count unread bodies as headers

The part of a body that the handler does not read, as with a 401 or 404, arrives after the handler has returned and was counted as the header of the next request: 57,401 of 65,536 bytes in the test, held while the connection was idle, which also counted as stalled and was closed before others at a limit. The next header now starts when net/http reports the connection as idle. TestUnreadBody fails without.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -44,6 +44,11 @@
 // one of the guard. It must be called before the server serves.
 func (g *Guard) Protect(s *http.Server) {
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(nc net.Conn, st http.ConnState) {
+		if c, ok := nc.(*conn); ok && st == http.StateIdle {
+			g.await(c)
+		}
+	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -74,7 +79,8 @@
 	c.restart(p, time.Now())
 }
 
-// end releases what a request holds.
+// end releases what a request holds. Bytes that arrive until the next call of await are
+// the part of its body that the handler has not read, which net/http discards.
 func (g *Guard) end(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -83,12 +89,21 @@
 	}
 	c.body, c.response = nil, nil
 	g.releaseHeader(c)
-	c.idle, c.inHeader, c.size = true, true, 0
+	c.idle = true
 	now := time.Now()
 	c.restart(client, now)
 	g.shrink(c, 0, now)
 }
 
+// await notes that a connection waits for the next request.
+func (g *Guard) await(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.releaseHeader(c)
+	c.idle, c.inHeader, c.size = true, true, 0
+	c.restart(client, time.Now())
+}
+
 // add returns a connection of the guard, or nil if there are too many.
 func (g *Guard) add(nc net.Conn) *conn {
 	g.mu.Lock()
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -44,6 +44,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &guarded{t: t, guard: New(l, log.NewNopLogger(), nil), accept: make(pipeListener), hold: make(chan struct{}), errs: make(chan error, 100)}
 		srv := &http.Server{IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/unread" {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
 			b, err := Read(r, bodyLimit, time.Time{})
 			if err == nil {
 				err = b.Decode(r.Context(), time.Now().Add(time.Second), func(content []byte) { _, _ = fmt.Fprint(w, len(content), strings.Count(string(content), "x")) })
@@ -304,6 +308,27 @@
 	})
 }
 
+// TestUnreadBody guards against a body that the handler does not read and that counts
+// as a header, and against closing the connection of its caller as a stalled one.
+func TestUnreadBody(t *testing.T) {
+	serve(t, ample, func(s *guarded) {
+		c := s.dial(post("/unread", bodyLimit, strings.Repeat("x", bodyLimit)))
+		if code, _, last := s.status(c); code != http.StatusUnauthorized || last {
+			t.Fatalf("status %d, connection closed %t", code, last)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if got := s.guard.Status(); got.HeaderBytes != 0 {
+			t.Errorf("%d bytes of headers are held for an idle connection", got.HeaderBytes)
+		}
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		if r, _ := s.guard.conns[0].rank(time.Now()); r != idle {
+			t.Errorf("rank %d of an idle connection, want %d", r, idle)
+		}
+	})
+}
+
 // TestLimitsFor guards against defaults that ordinary callers of the smallest hosts
 // meet: hundreds of connections, and dozens of bodies of which some wait.
 func TestLimitsFor(t *testing.T) {
