intake: keep idle connections with unread requests

At a limit, the connection that has been idle the longest was closed although the kernel held the next request of its caller, which a busy daemon had not read yet. Its bytes now count as received, as they do for connections that are stalled in the middle of a request. TestBusyDaemonIdle fails without the change.

--- a/internal/intake/busy_test.go
+++ b/internal/intake/busy_test.go
@@ -50,3 +50,45 @@
 		t.Errorf("picked the connection with unread bytes %t, the one that is worked on %t", v == unread, v == working)
 	}
 }
+
+// TestBusyDaemonIdle guards against closing the idle connection of a caller whose next
+// request a busy daemon has not read yet.
+func TestBusyDaemonIdle(t *testing.T) {
+	g := New(ample, log.NewNopLogger(), nil)
+	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var conns []*conn
+	for range 2 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, "POST"); err != nil {
+			t.Fatal(err)
+		}
+		s, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, g.add(s))
+		defer func() { _ = s.Close() }()
+	}
+	sent, unused := conns[0], conns[1]
+	for _, c := range conns {
+		for !c.hasUnread() {
+			time.Sleep(time.Millisecond)
+		}
+		c.idle, c.blocked = true, 1
+	}
+	if _, err := unused.Conn.Read(make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	all := func(*conn) bool { return true }
+	if v := g.pick(time.Now().Add(time.Second), all); v != unused {
+		t.Errorf("picked the connection with an unread request %t", v == sent)
+	}
+}
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -188,10 +188,11 @@
 				victim, best, earliest = c, r, at
 			}
 		}
-		if best != stalled || !victim.hasUnread() {
+		if best > idle || !victim.hasUnread() {
 			return victim
 		}
 		// The client has sent more, which the daemon has not come to read.
+		victim.idle = false
 		victim.restart(victim.phase, now)
 	}
 }
