entry: remember an accepted job beside a refused repeat

Of two concurrent attempts for one job, the store may accept the first and refuse the second, for example because the queue of writes is full. The second verdict removed the record of the first, so that a third attempt whose lookup had ended before could get 429 for the stored job. The record now keeps that an attempt was accepted. TestRefusedRepeat fails without the change.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -71,6 +71,7 @@
 	counts   bool // as load; others are always accepted
 	inFlight int  // attempts without a verdict yet
 	unknown  bool // an attempt ended without a verdict of the store
+	accepted bool // an attempt was accepted
 	at       clock.BootTime
 }
 
@@ -222,8 +223,8 @@
 	if t == nil {
 		return
 	}
-	t.inFlight, t.at, t.unknown = t.inFlight-1, a.Now(), t.unknown || v == Unknown
-	if t.inFlight == 0 && v == Rejected && !t.unknown {
+	t.inFlight, t.at, t.unknown, t.accepted = t.inFlight-1, a.Now(), t.unknown || v == Unknown, t.accepted || v == Accepted
+	if t.inFlight == 0 && !t.unknown && !t.accepted {
 		delete(a.recent, id)
 	}
 }
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -153,3 +153,17 @@
 		}
 	}
 }
+
+// TestRefusedRepeat guards against a 429 for a job that is stored: a concurrent repeat
+// that the store refused must not hide that another attempt was accepted.
+func TestRefusedRepeat(t *testing.T) {
+	a := newAdmissionTest(t, nil).Admission
+	j := &job.Job{ID: "j", Queue: "q", Service: "s"}
+	a.accept(j)
+	a.accept(j)
+	a.end(j.ID, Accepted)
+	a.end(j.ID, Rejected)
+	if !a.submitted(j.ID) {
+		t.Error("an accepted job is not known any more")
+	}
+}
