sched, share: tag old jobs of previous terms by their age

A new leader limited the age of the jobs that it read to a minute, so that all older open jobs of a workspace counted as accepted at once: 233 of 300 jobs at its weight were beyond the share, which the previous leader had within it. Shares now use the stored time of acceptance, also if that is before the boot of the leader's host. TestNextLeaderOldJobs fails without the change.

--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -29,11 +29,13 @@
 
 // awaitTag records that a job needs a tag. The jobs of previous terms are read in no
 // particular order, so that tags are given when they are first needed.
-func (s *State) awaitTag(js *jobState, now clock.BootTime) {
+func (s *State) awaitTag(js *jobState, now clock.BootTime, wall time.Time) {
 	if js.def.Workspace == "" || js.def.LongRunning() {
 		return
 	}
-	at := js.acceptedAt
+	// The age of jobs of previous terms is not limited to maxJobAge: all jobs above the
+	// limit would count as accepted at once.
+	at := now.Add(-max(wall.Sub(js.def.Accepted), 0))
 	if js.created > kv.Revision(s.Term) {
 		at = max(at, now.Add(-maxReadLag))
 	}
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// TestNextLeaderOldJobs guards against a new leader that puts jobs of a workspace at its
+// weight beyond the share because they have been open for longer than maxJobAge.
+func TestNextLeaderOldJobs(t *testing.T) {
+	f := newShareReplay(t, true).fixture
+	f.s.Term = 1000
+	const jobs = 300
+	wall, beyond := time.Unix(1000, 0), 0
+	for n := range jobs {
+		f.submitAt(n, "w1", wall.Add(time.Duration(n-jobs)*time.Second), wall)
+	}
+	for _, js := range f.s.jobs {
+		if f.s.beyondShare(js, f.now) {
+			beyond++
+		}
+	}
+	if beyond > 0 {
+		t.Errorf("%d of %d jobs at the weight are beyond the share", beyond, jobs)
+	}
+}
+
 // TestClockJump guards against a jump of the wall clock that puts the jobs of a workspace
 // beyond its share for longer than maxReadLag.
 func TestClockJump(t *testing.T) {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -233,7 +233,7 @@
 		}
 	}
 	s.openAccount(js)
-	s.awaitTag(js, now)
+	s.awaitTag(js, now, wall)
 	if s.cfg != nil {
 		js.configure(s.cfg)
 	}
--- a/internal/share/line.go
+++ b/internal/share/line.go
@@ -49,7 +49,7 @@
 		if l.byName == nil {
 			l.byName = make(map[string]*line)
 		}
-		x = &line{}
+		x = &line{arrived: accepted} // which is negative before the boot of the host
 		l.byName[workspace] = x
 	}
 	x.weight = weight
