intake: decode bodies of half-closed connections

A client that closes its side after the request cancels the request's context. Decode then chose at random between a free slot and the end of the context, so that half of the large bodies got 503 with no other request open, and were counted as rejected for a limit. A free slot is now always taken. TestDecodeHalfClosed fails without.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -147,11 +147,15 @@
 		defer cancel()
 		select {
 		case g.decodes <- struct{}{}:
-			defer func() { <-g.decodes }()
-		case <-ctx.Done():
-			g.finish(b.conn, b, ErrBusy)
-			return ErrBusy
+		default:
+			select {
+			case g.decodes <- struct{}{}:
+			case <-ctx.Done():
+				g.finish(b.conn, b, ErrBusy)
+				return ErrBusy
+			}
 		}
+		defer func() { <-g.decodes }()
 	}
 	content := append(make([]byte, 0, b.size), b.first...)
 	for _, s := range b.rest {
