entry: drop the view when the leader knows no load

A leader that has started another term in the same process returns no load for 2 s. A daemon that had not seen the change yet, or is that leader itself, used the view of the earlier term for up to a second longer. It is now dropped with the reply. The new case of TestAcceptedInDoubt fails without the change.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -124,16 +124,19 @@
 			return
 		}
 	}
-	if v != nil {
-		a.set(v, from, sent)
-	}
+	a.set(v, from, sent)
 }
 
 // set replaces the view by one for which the query was sent at the given time. The view
-// of an earlier term is ignored.
+// of an earlier term is ignored. Nil means that the leader does not know the load: it may
+// have started a term again, and the last view is that of an earlier one.
 func (a *Admission) set(v *overload.View, from *lead.Holder, sent clock.BootTime) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if v == nil {
+		a.view = nil
+		return
+	}
 	if v.Term < a.lastTerm {
 		return
 	}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -136,6 +136,10 @@
 			a.leader.holder, a.leader.view = &lead.Holder{Name: "d2"}, nil
 			a.Admission.refresh(t.Context())
 		},
+		"leader that has started again": func(a *admissionTest) { // the daemon has not seen the change
+			a.leader.view = nil
+			a.Admission.refresh(t.Context())
+		},
 		"silent leader": func(a *admissionTest) {
 			a.leader.err = errors.New("no reply")
 			a.now = a.now.Add(overload.MaxAge + 1)
