sched: show arrivals beyond a share in the load

Jobs beyond the share of their workspace left the expected work of their pool, and with it the rates of arrival by rank that the view for admission holds: 200 such jobs showed a rate of 0. Daemons thus counted no arrivals of other daemons when they decided on jobs beyond a share, which are to be rejected first. They are now counted by rank; the expected work stays as it was. TestLoadBeyondShare fails without.

--- a/internal/sched/arrival.go
+++ b/internal/sched/arrival.go
@@ -36,14 +36,18 @@
 	at          clock.BootTime
 }
 
-// recordArrival counts a new job of a pool.
+// recordArrival counts a new job of a pool. The work that the pool expects does not
+// include jobs beyond a share.
 func (s *State) recordArrival(js *jobState, now clock.BootTime) {
 	if js.def.LongRunning() {
 		return
 	}
+	s.recordRankArrival(js, now)
+	if !s.arrivesWithinShare(js, now) {
+		return
+	}
 	svc := s.service(js)
 	s.arrivals[svc] = s.arrivals[svc].add(js.total, now)
-	s.recordRankArrival(js, now)
 }
 
 // decay updates the averages to now.
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -1,10 +1,12 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/job"
+	"gypsumtrestle.example/gypsumtrestle/internal/kv"
 )
 
 // TestLoad guards against a view at the start of a term or from old input, and against
@@ -50,6 +52,33 @@
 	}
 }
 
+// TestLoadBeyondShare guards against a view without the rate at which jobs beyond the share
+// of a workspace arrive, by which daemons accept more of them than the pool can do.
+func TestLoadBeyondShare(t *testing.T) {
+	f := newShareReplay(t, true).fixture
+	f.now = f.now.Add(loadDelay)
+	f.s.InputCurrent(0, f.now)
+	f.accept(f.plan())
+	for n := range 200 {
+		id := job.ID(fmt.Sprintf("%016x", n+1))
+		f.s.AddJob(&job.Job{ID: id, Queue: "work", Service: "pool", Workspace: "w1", Accepted: time.Unix(0, 0), Steps: []job.Step{
+			{Count: 2, Resources: job.Resources{CPU: 1000, Mem: 1}, Estimate: replayRunTime},
+		}}, 100+kv.Revision(n), nil, 0, f.now, time.Unix(0, 0))
+	}
+	f.accept(f.plan())
+	v := f.s.Load(f.now)
+	if v == nil || len(v.Pools) != 1 {
+		t.Fatalf("load %+v, want one pool", v)
+	}
+	rates := make(map[bool]float64)
+	for _, c := range v.Pools[0].Classes {
+		rates[c.Beyond] += c.Rate
+	}
+	if rates[true] <= rates[false] {
+		t.Errorf("rates of arrival %v by beyond the share, want more beyond it", rates)
+	}
+}
+
 // TestLoadCountsMoves guards against a pool in a surge whose view lacks the machines that
 // are on their way to it.
 func TestLoadCountsMoves(t *testing.T) {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -253,7 +253,7 @@
 	}
 	svc := s.service(js)
 	s.open[svc] = append(s.open[svc], js)
-	if created > kv.Revision(s.Term) && js.arrivesWithinCap() && s.arrivesWithinShare(js, now) {
+	if created > kv.Revision(s.Term) && js.arrivesWithinCap() {
 		s.recordArrival(js, now)
 	}
 	s.checkCap(js)
