--- a/internal/intake/busy_test.go
+++ b/internal/intake/busy_test.go
@@ -1,8 +1,10 @@
 package intake
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -92,3 +94,18 @@
 		t.Errorf("picked the connection with an unread request %t", v == sent)
 	}
 }
+
+// TestDecodeHalfClosed guards against rejecting a large body for want of a free slot,
+// of which there are some, because its client has closed its side of the connection.
+func TestDecodeHalfClosed(t *testing.T) {
+	g := New(ample, log.NewNopLogger(), nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		c := &conn{guard: g, response: httptest.NewRecorder()}
+		b := &Body{conn: c, rest: []*[segmentSize]byte{{}}, size: segmentSize}
+		if err := b.Decode(ctx, time.Now().Add(time.Second), func([]byte) {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -331,21 +329,6 @@
 	})
 }
 
-// TestDecodeHalfClosed guards against rejecting a large body for want of a free slot,
-// of which there are some, because its client has closed its side of the connection.
-func TestDecodeHalfClosed(t *testing.T) {
-	g := New(ample, log.NewNopLogger(), nil)
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	for range 100 {
-		c := &conn{guard: g, response: httptest.NewRecorder()}
-		b := &Body{conn: c, rest: []*[segmentSize]byte{{}}, size: segmentSize}
-		if err := b.Decode(ctx, time.Now().Add(time.Second), func([]byte) {}); err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
 // TestLimitsFor guards against defaults that ordinary callers of the smallest hosts
 // meet: hundreds of connections, and dozens of bodies of which some wait.
 func TestLimitsFor(t *testing.T) {
