--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -71,6 +71,7 @@
 	counts   bool // as load; others are always accepted
 	inFlight int  // attempts without a verdict yet
 	unknown  bool // an attempt ended without a verdict of the store
+	accepted bool // an attempt was accepted
 	at       clock.BootTime
 }
 
@@ -123,16 +124,19 @@
 			return
 		}
 	}
-	if v != nil {
-		a.set(v, from, sent)
-	}
+	a.set(v, from, sent)
 }
 
 // set replaces the view by one for which the query was sent at the given time. The view
-// of an earlier term is ignored.
+// of an earlier term is ignored. Nil means that the leader does not know the load: it may
+// have started a term again, and the last view is that of an earlier one.
 func (a *Admission) set(v *overload.View, from *lead.Holder, sent clock.BootTime) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if v == nil {
+		a.view = nil
+		return
+	}
 	if v.Term < a.lastTerm {
 		return
 	}
@@ -222,8 +226,8 @@
 	if t == nil {
 		return
 	}
-	t.inFlight, t.at, t.unknown = t.inFlight-1, a.Now(), t.unknown || v == Unknown
-	if t.inFlight == 0 && v == Rejected && !t.unknown {
+	t.inFlight, t.at, t.unknown, t.accepted = t.inFlight-1, a.Now(), t.unknown || v == Unknown, t.accepted || v == Accepted
+	if t.inFlight == 0 && !t.unknown && !t.accepted {
 		delete(a.recent, id)
 	}
 }
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -136,6 +136,10 @@
 			a.leader.holder, a.leader.view = &lead.Holder{Name: "d2"}, nil
 			a.Admission.refresh(t.Context())
 		},
+		"leader that has started again": func(a *admissionTest) { // the daemon has not seen the change
+			a.leader.view = nil
+			a.Admission.refresh(t.Context())
+		},
 		"silent leader": func(a *admissionTest) {
 			a.leader.err = errors.New("no reply")
 			a.now = a.now.Add(overload.MaxAge + 1)
@@ -153,3 +157,17 @@
 		}
 	}
 }
+
+// TestRefusedRepeat guards against a 429 for a job that is stored: a concurrent repeat
+// that the store refused must not hide that another attempt was accepted.
+func TestRefusedRepeat(t *testing.T) {
+	a := newAdmissionTest(t, nil).Admission
+	j := &job.Job{ID: "j", Queue: "q", Service: "s"}
+	a.accept(j)
+	a.accept(j)
+	a.end(j.ID, Accepted)
+	a.end(j.ID, Rejected)
+	if !a.submitted(j.ID) {
+		t.Error("an accepted job is not known any more")
+	}
+}
