--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -55,7 +55,7 @@
 // TestLoadBeyondShare guards against a view without the rate at which jobs beyond the share
 // of a workspace arrive, by which daemons accept more of them than the pool can do.
 func TestLoadBeyondShare(t *testing.T) {
-	f := newShareReplay(t, true).fixture
+	f := newShareReplay(t, 1).fixture
 	f.now = f.now.Add(loadDelay)
 	f.s.InputCurrent(0, f.now)
 	f.accept(f.plan())
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -196,7 +196,7 @@
 // TestNextLeaderOldJobs guards against a new leader that puts jobs of a workspace at its
 // weight beyond the share because they have been open for longer than maxJobAge.
 func TestNextLeaderOldJobs(t *testing.T) {
-	f := newShareReplay(t, true).fixture
+	f := newShareReplay(t, 1).fixture
 	f.s.Term = 1000
 	const jobs = 300
 	wall, beyond := time.Unix(1000, 0), 0
