sched: sum what is beside a run in a fixed order

The order of the map of a runner's runs changed the last bits of the sums of amounts, so that two replays of the same reports learned slightly different effects. Change: the amounts are sorted by image and size before they are summed.

--- a/internal/sched/interference.go
+++ b/internal/sched/interference.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -78,8 +79,9 @@
 	s.pairs.Observe(interference.Latency, sp.Image, float64(r.load), latencyWeight, s.beside(r, now.Add(-latencyInterval), now), now)
 }
 
-// beside returns the images that were beside a run between two times. The result is valid
-// until the next call.
+// beside returns the images that were beside a run between two times, by name. The result
+// is valid until the next call. The amounts are summed in order, since the order of a map
+// would change the sums, and with them decisions, from replay to replay.
 func (s *State) beside(r *run, from, to clock.BootTime) []interference.Neighbor {
 	s.neighbors = s.neighbors[:0]
 	add := func(image string, amount float64, begin, end clock.BootTime) {
@@ -87,13 +89,7 @@
 		if d <= 0 || amount == 0 {
 			return
 		}
-		amount *= float64(d) / float64(to.Sub(from))
-		i := slices.IndexFunc(s.neighbors, func(nb interference.Neighbor) bool { return nb.Image == image })
-		if i < 0 {
-			s.neighbors = append(s.neighbors, interference.Neighbor{Image: image, Amount: amount})
-			return
-		}
-		s.neighbors[i].Amount = min(s.neighbors[i].Amount+amount, 1)
+		s.neighbors = append(s.neighbors, interference.Neighbor{Image: image, Amount: amount * float64(d) / float64(to.Sub(from))})
 	}
 	for _, x := range r.runner.runs {
 		if x != r && x.confirmedAt != 0 && s.hasImage(x) {
@@ -103,6 +99,19 @@
 	for _, p := range r.runner.past {
 		add(p.image, p.amount, p.from, p.to)
 	}
+	slices.SortFunc(s.neighbors, func(a, b interference.Neighbor) int {
+		return cmp.Or(cmp.Compare(a.Image, b.Image), cmp.Compare(a.Amount, b.Amount))
+	})
+	n := 0
+	for _, nb := range s.neighbors {
+		if n > 0 && s.neighbors[n-1].Image == nb.Image {
+			s.neighbors[n-1].Amount = min(s.neighbors[n-1].Amount+nb.Amount, 1)
+			continue
+		}
+		s.neighbors[n] = nb
+		n++
+	}
+	s.neighbors = s.neighbors[:n]
 	return s.neighbors
 }
 
