--- a/internal/interference/image.go
+++ b/internal/interference/image.go
@@ -10,13 +10,11 @@
 const (
 	// minEffect is the least effect of a pair that is worth keeping it apart: a fifth.
 	minEffect = 0.18
-	// minErrors is how many standard errors above zero a known effect is. In 100 minutes
-	// of TestHarmless at 64 steps a second, none of 400 pairs got there, and 5 times one
-	// reached 2.5.
+	// minErrors is how many standard errors above zero a known effect is. Of 400 harmless
+	// pairs, some reach 2.5 within two hours.
 	minErrors = 3
 	// goneErrors is how many standard errors below its known value an effect is that has
-	// gone. In 300 replays of TestLatency, 7 pairs were known 8 s after that, and with 2
-	// errors 28 were; none expired before.
+	// gone. With 2, four times as many pairs are still known 8 s later.
 	goneErrors = 1
 	// minVariance is the least variance that an observation is taken to have, since few
 	// equal ones say little.
--- a/internal/interference/table.go
+++ b/internal/interference/table.go
@@ -53,8 +53,8 @@
 
 // minSpread is the least sum of squared deviations of the amounts. For run times it is
 // reached by two independent observations with the other image beside and two without it;
-// with 0.7, three harmless pairs became known in 100 minutes of TestHarmless. For
-// latencies it is not reached by one task, which may have a higher load than others.
+// with less, harmless pairs become known. For latencies it is not reached by one task,
+// which may have a higher load than others.
 func (k Kind) minSpread() float64 {
 	if k == Latency {
 		return 1.5
--- a/internal/overload/decide.go
+++ b/internal/overload/decide.go
@@ -15,13 +15,11 @@
 	idleMargin = 50 * time.Millisecond
 	// timelyShare and lateShare are how much work may be started before a job, in shares
 	// of what the pool can do in the time left, for a job that can meet its objective and
-	// for one that cannot. The first is above one because smaller jobs may stop arriving:
-	// with 1.2 and 0.7, trials completed 1.6% less worth at 1.5 times the capacity.
+	// for one that cannot. The first is above one because smaller jobs may stop arriving.
 	timelyShare = 2
 	lateShare   = 1
 	// severe is the multiple of its capacity from which a surge makes a pool keep capacity
-	// for accepted work. In trials at 1.5 and 2.5 times the capacity, late work was mostly
-	// completed without that, which cost 8 to 10% of the worth there.
+	// for accepted work. Below it, late work is mostly completed without that.
 	severe = 3
 	// severeFactor reduces timelyShare and lateShare in a severe surge, in which smaller
 	// jobs do not stop arriving and late work gets little capacity.
--- a/internal/overload/view.go
+++ b/internal/overload/view.go
@@ -61,8 +61,8 @@
 }
 
 // PeakTime is how long the peak of the arrivals counts. Once daemons reject jobs, the
-// arrivals at the leader do not show the surge any more. With 10 s, trials in which
-// rejected callers returned four times had half as many jobs again too late.
+// arrivals at the leader do not show the surge any more, of which rejected callers return
+// for longer than 10 s.
 const PeakTime = 20 * time.Second
 
 // Arrival is capacity that a pool gets.
--- a/internal/share/line.go
+++ b/internal/share/line.go
@@ -12,9 +12,8 @@
 	// may be. It is the time in which callers retry a request, which comes at once for
 	// several.
 	burstTime = 2 * time.Second
-	// minBurst is how many jobs a workspace may send at once at least. In trials with random
-	// arrivals at 0.85 of weights of 1 and 2 jobs a second, 4 put 5% of the jobs of the
-	// workspaces without a surge beyond their share, 8 put 0.5%.
+	// minBurst is how many jobs a workspace may send at once at least. With 4, random
+	// arrivals put 5% of the jobs of workspaces within weights of 1 and 2 beyond the share.
 	minBurst = 8
 )
 
