sched: learn run times from runs whatever their percent

The percent of a task that ends is its progress; only best-effort tasks are throttled, and these are no evidence anyway. Change: the percent does not matter.

--- a/internal/sched/job_state.go
+++ b/internal/sched/job_state.go
@@ -33,7 +33,7 @@
 	scheduledAt   clock.BootTime // when the run was scheduled or adopted
 	confirmedAt   clock.BootTime // when the runner first confirmed it
 	stopConfirmed clock.BootTime // when the stop was confirmed; zero: not yet
-	percent       int            // throttle that the runner reports
+	percent       int            // progress that the runner reports; of a best-effort task, its throttle
 	throttle      int            // desired throttle in percent of full speed
 	throttledAt   clock.BootTime // when the throttle was last changed
 	load          int            // as in runner.Run
@@ -51,7 +51,6 @@
 	unsettled    bool // started on the previous incarnation of the runner
 	startSeen    bool // confirmedAt is when the runner accepted the start
 	resumed      bool // started from a checkpoint
-	slowed       bool // its runner has reported it below full speed
 	sending      bool // a start or stop of the run is queued or in flight
 	startSent    bool // a start is in flight
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -154,7 +154,6 @@
 		r.phase = running
 	}
 	r.percent, r.load = reported.Percent, reported.Load
-	r.slowed = r.slowed || r.percent < 100
 	if r.hasPassed(now) {
 		rs.health.recordSuccess()
 	}
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -61,7 +61,7 @@
 	switch {
 	case sp.LongRunning || sp.BestEffort:
 		return false // the latter take as long as others let them
-	case !r.startSeen || r.startUnknown || r.resumed || r.slowed:
+	case !r.startSeen || r.startUnknown || r.resumed:
 		return false
 	case sp.Rack != "" && r.runner.Rack != sp.Rack:
 		return false
