sched: the control of TestRunTimesLearned counts runs as resumed

Cause: the control learned nothing because runs below 100 percent were no evidence. Change: runs of the control count as resumed from a checkpoint. The bounds are unchanged.

--- a/internal/sched/replay_test.go
+++ b/internal/sched/replay_test.go
@@ -13,18 +13,20 @@
 // replay is runners of 32 cores that carry out starts, and are polled every few passes.
 type replay struct {
 	*fixture
-	ids     []runner.ID
-	every   int // passes between two polls of a runner
-	percent int // throttle that they report
-	passes  int
-	left    map[runner.ID]map[job.Task]float64                // seconds of work that the runs need
-	work    func(t job.Task) float64                          // seconds of work of a task
-	speed   func(t job.Task, on map[job.Task]float64) float64 // of a run beside others
+	ids   []runner.ID
+	every int // passes between two polls of a runner
+	// declared makes all runs count as resumed from a checkpoint, so that no run times are
+	// learned.
+	declared bool
+	passes   int
+	left     map[runner.ID]map[job.Task]float64                // seconds of work that the runs need
+	work     func(t job.Task) float64                          // seconds of work of a task
+	speed    func(t job.Task, on map[job.Task]float64) float64 // of a run beside others
 }
 
 func newReplay(t *testing.T, runners, every int) *replay {
 	t.Helper()
-	f := &replay{fixture: newFixture(t, 1), every: every, percent: 100, left: make(map[runner.ID]map[job.Task]float64)}
+	f := &replay{fixture: newFixture(t, 1), every: every, left: make(map[runner.ID]map[job.Task]float64)}
 	f.s.Logger = log.NewNopLogger()
 	f.speed = func(job.Task, map[job.Task]float64) float64 { return 1 }
 	for i := range runners {
@@ -58,11 +60,14 @@
 		if f.passes%f.every != i%f.every {
 			continue
 		}
+		for _, r := range f.s.runners[id].runs {
+			r.resumed = f.declared
+		}
 		var runs []runner.Run
 		var results []runner.RunResult
 		for _, t := range sortedTasks(f.left[id]) {
 			if f.left[id][t] > 0 {
-				runs = append(runs, runner.Run{Task: t, Attempt: 1, Percent: f.percent})
+				runs = append(runs, runner.Run{Task: t, Attempt: 1, Percent: 50})
 				continue
 			}
 			results = append(results, runner.RunResult{Seq: f.s.runners[id].applied + 1 + len(results), Task: t, Attempt: 1})
--- a/internal/sched/runtimes_test.go
+++ b/internal/sched/runtimes_test.go
@@ -65,19 +65,19 @@
 	swapped, pairs float64
 }
 
-// replayAll replays the jobs of three seeds on 12 runners that are polled every 90 ms. Runs
-// that are reported below full speed are no evidence, so that nothing is learned from them.
-func replayAll(t *testing.T, off func(rng *rand.Rand, queue int) float64, percent int) (demand, disorder float64) {
+// replayAll replays the jobs of three seeds on 12 runners that are polled every 90 ms, with
+// learned run times or with the declared ones alone.
+func replayAll(t *testing.T, off func(rng *rand.Rand, queue int) float64, declared bool) (demand, disorder float64) {
 	t.Helper()
 	var out outcomes
 	for seed := range uint64(3) {
-		out.add(newReplay(t, 12, 3), replayed(seed, off), percent)
+		out.add(newReplay(t, 12, 3), replayed(seed, off), declared)
 	}
 	return out.demand / out.passes, out.swapped / out.pairs
 }
 
-func (out *outcomes) add(f *replay, jobs []*replayedJob, percent int) {
-	f.percent = percent
+func (out *outcomes) add(f *replay, jobs []*replayedJob, declared bool) {
+	f.declared = declared
 	f.work = func(t job.Task) float64 { return jobs[f.number(t.Job)].ran[t].Seconds() }
 	var queues []*job.Queue
 	for i := range 3 {
@@ -145,13 +145,13 @@
 // which are off by 0.9 in both directions, and against a replay that does not depend on
 // them.
 func TestRunTimesLearned(t *testing.T) {
-	exact, _ := replayAll(t, func(*rand.Rand, int) float64 { return 0 }, 100)
+	exact, _ := replayAll(t, func(*rand.Rand, int) float64 { return 0 }, false)
 	for name, off := range map[string]func(rng *rand.Rand, queue int) float64{
 		"by job":   func(rng *rand.Rand, _ int) float64 { return 0.9 * (2*rng.Float64() - 1) },
 		"by queue": func(_ *rand.Rand, queue int) float64 { return []float64{0.9, 0.9, -0.9}[queue] },
 	} {
-		demand, disorder := replayAll(t, off, 100)
-		declaredDemand, declared := replayAll(t, off, 50)
+		demand, disorder := replayAll(t, off, false)
+		declaredDemand, declared := replayAll(t, off, true)
 		t.Logf("%s: disorder %.3f, with declared estimates %.3f; demand %.3f times the true one, with declared estimates %.3f",
 			name, disorder, declared, demand/exact, declaredDemand/exact)
 		if disorder > 0.1 {
