intaketest: tests of daemons that lead, with their crowds and bounds

Cause: the tests of uncontrolled clients start daemons that do not lead, or clients that come once. Jobs that are accepted one after the other stay in the leader, and the store then ends its successors. Change: tests with the store's stand-in over HTTP, which moves from the soak to standin/store and gives lists in pages as the platform does.

--- a/internal/intake/intaketest/process_linux_test.go
+++ b/internal/intake/intaketest/process_linux_test.go
@@ -104,6 +104,8 @@
 	// url and method of an ordinary request, which is answered with status 200.
 	method, path string
 	host         string
+	// memoryMB is the memory of its host.
+	memoryMB int
 
 	stop   chan struct{}
 	done   chan struct{}
@@ -172,6 +174,12 @@
 // startEntry starts the command entry with a store that has a configuration and
 // stores jobs after storeDelay. No daemon leads, since the store grants no lease.
 func startEntry(t *testing.T) *process {
+	t.Helper()
+	return startWithStore(t, storeDelay, memoryMB)
+}
+
+// startWithStore is startEntry for a store with a delay and a host with a memory.
+func startWithStore(t *testing.T, storeDelay time.Duration, memoryMB int) *process {
 	t.Helper()
 	config, err := json.Marshal(map[string]any{
 		"version":  1,
@@ -213,7 +221,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, callers: loopback(ports[1]), method: http.MethodPost, path: "/jobs/00000000000000aa", host: queueHost}
+	p := &process{t: t, callers: loopback(ports[1]), method: http.MethodPost, path: "/jobs/00000000000000aa", host: queueHost, memoryMB: memoryMB}
 	p.start([]string{"GYPSUMTRESTLE_NODE_FILE=" + file}, "entry", "--metrics", loopback(ports[3]).String())
 	return p
 }
@@ -239,7 +247,7 @@
 	if out, err := exec.Command(program(t), "apply", file, "--platform", s.URL.String(), "--wait", "2s").CombinedOutput(); err != nil && !strings.Contains(string(out), "accepted") {
 		t.Fatalf("apply: %v\n%s", err, out)
 	}
-	p := &process{t: t, callers: loopback(ports[0]), method: http.MethodPost, path: "/ascent/x", host: queueHost}
+	p := &process{t: t, callers: loopback(ports[0]), method: http.MethodPost, path: "/ascent/x", host: queueHost, memoryMB: memoryMB}
 	p.start([]string{
 		"GYPSUMTRESTLE_MAXBODY=" + strconv.Itoa(maxBody), "GYPSUMTRESTLE_MEMORY=" + strconv.Itoa(memoryMB),
 		"GYPSUMTRESTLE_CONNECTIONS=" + strconv.Itoa(maxConnections), "GOMEMLIMIT=" + strconv.Itoa(memoryMB*6/10) + "MiB",
@@ -289,8 +297,8 @@
 	if err != nil || status != http.StatusOK {
 		p.t.Errorf("ordinary request: status %d, %v", status, err)
 	}
-	if resident+p.unread > memoryMB<<20 {
-		p.t.Errorf("%d MB of memory, limit %d MB", (resident+p.unread)>>20, memoryMB)
+	if resident+p.unread > int64(p.memoryMB)<<20 {
+		p.t.Errorf("%d MB of memory, limit %d MB", (resident+p.unread)>>20, p.memoryMB)
 	}
 	if p.fds > maxFDs || p.socks > maxFDs-fileFDs {
 		p.t.Errorf("%d descriptors, %d of them sockets, limits %d and %d", p.fds, p.socks, maxFDs, maxFDs-fileFDs)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -80,11 +80,11 @@
 			runnerProxy.reset() // data in transit is lost with the process
 		}, func() { r.recoverRunner(i) })
 	case 9:
-		return during(func() { r.store.busy.Store(true) }, func() { r.store.busy.Store(false) })
+		return during(func() { r.store.Busy.Store(true) }, func() { r.store.Busy.Store(false) })
 	case 10:
-		return during(func() { r.store.delay.Store(int64(300 * time.Millisecond)) }, func() { r.store.delay.Store(0) })
+		return during(func() { r.store.Delay.Store(int64(300 * time.Millisecond)) }, func() { r.store.Delay.Store(0) })
 	case 11:
-		return during(func() { r.store.loseResponses.Store(true) }, func() { r.store.loseResponses.Store(false) })
+		return during(func() { r.store.LoseResponses.Store(true) }, func() { r.store.LoseResponses.Store(false) })
 	}
 	return during(func() {
 		r.store.Compact()
--- a/internal/soak/runner_test.go
+++ b/internal/soak/runner_test.go
@@ -186,7 +186,9 @@
 		}
 		body["clock-ms"], body["born"] = r.clock(), r.startedAt.UnixMilli()
 		r.mu.Unlock()
-		writeJSON(w, status, body)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body) // a disconnected caller needs no response
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"gypsumtrestle.example/gypsumtrestle/internal/standin/store"
 )
 
 var (
@@ -51,7 +53,7 @@
 	ctx           context.Context
 	rand          *rand.Rand
 	ledger        *ledger
-	store         *storeServer
+	store         *store.Server
 	daemons       []*daemon
 	runners       []*runnerServer
 	runnerProxies []*proxy // in the order of runners
@@ -147,7 +149,7 @@
 func soak(t *testing.T, bin string, seed uint64, size soakSize) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
 	defer cancel()
-	r := &rig{t: t, ctx: ctx, rand: rand.New(rand.NewPCG(seed, 1)), ledger: newLedger(t), store: &storeServer{}, size: size, admissionCheck: true}
+	r := &rig{t: t, ctx: ctx, rand: rand.New(rand.NewPCG(seed, 1)), ledger: newLedger(t), store: &store.Server{}, size: size, admissionCheck: true}
 	if size.crashes {
 		r.startCrashes(seed)
 	}
@@ -198,7 +200,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: r.store.handler(), ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: r.store.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	go r.expireLeases()
--- a/internal/soak/store_test.go
+++ b/internal/standin/store/server.go
@@ -1,8 +1,9 @@
-package soak
+package store
 
 import (
 	"encoding/json"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -11,15 +12,20 @@
 	"github.com/pkg/errors"
 
 	"gypsumtrestle.example/gypsumtrestle/internal/kv"
-	"gypsumtrestle.example/gypsumtrestle/internal/standin/store"
 )
 
-// storeServer serves the in-memory stand-in with the store's HTTP protocol.
-type storeServer struct {
-	store.Store
-	busy          atomic.Bool  // all calls are rejected with status 503
-	delay         atomic.Int64 // additional duration of each call
-	loseResponses atomic.Bool  // one of three transactions gets no response
+const (
+	// maxPageItems and maxPageBytes bound a page of a list, as in the platform's contract.
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
+// Server serves a Store with the platform's HTTP protocol.
+type Server struct {
+	Store
+	Busy          atomic.Bool  // all calls are rejected with status 503
+	Delay         atomic.Int64 // additional duration of each call
+	LoseResponses atomic.Bool  // one of three transactions gets no response
 	txns          atomic.Int64
 }
 
@@ -50,7 +56,8 @@
 	_ = json.NewEncoder(w).Encode(v) // a disconnected caller needs no response
 }
 
-func (s *storeServer) handler() http.Handler {
+// Handler returns the HTTP handler of the store.
+func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /api/kv-key", s.get)
 	m.HandleFunc("GET /api/kv-range", s.list)
@@ -60,8 +67,8 @@
 	m.HandleFunc("POST /api/kv-keep/{id}", s.leaseHandler(func(r *http.Request, l kv.Lease) error { return s.Renew(r.Context(), l) }))
 	m.HandleFunc("DELETE /api/kv-lease-end/{id}", s.leaseHandler(func(r *http.Request, l kv.Lease) error { return s.Revoke(r.Context(), l) }))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(time.Duration(s.delay.Load()))
-		if s.busy.Load() {
+		time.Sleep(time.Duration(s.Delay.Load()))
+		if s.Busy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -83,7 +90,7 @@
 	w.WriteHeader(status)
 }
 
-func (s *storeServer) get(w http.ResponseWriter, r *http.Request) {
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	it, err := s.Get(r.Context(), r.FormValue("key"))
 	if err != nil {
 		fail(w, err)
@@ -92,16 +99,24 @@
 	writeJSON(w, http.StatusOK, toWire(it))
 }
 
-func (s *storeServer) list(w http.ResponseWriter, r *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	items, rev, err := s.List(r.Context(), r.FormValue("prefix"))
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": wireItems(items), "has-more": false, "as-of": int64(rev)})
+	first := sort.Search(len(items), func(i int) bool { return items[i].Key > r.FormValue("after") })
+	page, size := items[first:], 0
+	for i, it := range page {
+		if size += len(it.Value); i == maxPageItems || i > 0 && size > maxPageBytes {
+			page = page[:i]
+			break
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": wireItems(page), "has-more": first+len(page) < len(items), "as-of": int64(rev)})
 }
 
-func (s *storeServer) watch(w http.ResponseWriter, r *http.Request) {
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -125,7 +140,7 @@
 	writeJSON(w, http.StatusOK, map[string]any{"events": ws, "as-of": int64(rev)})
 }
 
-func (s *storeServer) txn(w http.ResponseWriter, r *http.Request) {
+func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
 	var q struct {
 		Conds   []wireItem `json:"expected-rev"`
 		Writes  []wireItem `json:"writes"`
@@ -147,7 +162,7 @@
 		t.Writes = append(t.Writes, kv.Write{Key: x.Key, Value: x.Value, Lease: kv.Lease(x.Lease)})
 	}
 	rev, err := s.Commit(r.Context(), t)
-	if s.loseResponses.Load() && s.txns.Add(1)%3 == 0 {
+	if s.LoseResponses.Load() && s.txns.Add(1)%3 == 0 {
 		panic(http.ErrAbortHandler) // no response, whether or not the transaction was applied
 	}
 	var conflict *kv.Conflict
@@ -161,7 +176,7 @@
 	}
 }
 
-func (s *storeServer) grant(w http.ResponseWriter, r *http.Request) {
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
 	var q struct {
 		TTL int64 `json:"ttl-ms"`
 	}
@@ -177,7 +192,7 @@
 	writeJSON(w, http.StatusOK, map[string]int64{"lease": int64(l), "ttl-ms": ttl.Milliseconds()})
 }
 
-func (s *storeServer) leaseHandler(call func(*http.Request, kv.Lease) error) http.HandlerFunc {
+func (s *Server) leaseHandler(call func(*http.Request, kv.Lease) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
 		if err != nil {
