--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -C review/standin-3 -o "$PWD/target/review-3/world" .
+go build -C review/11/standin -o "$PWD/target/review-3/world" .
